Bound all hops out by one learned figure instead of one a server

The bound is now one figure a limiter, its start split over the limiters; operations wait at the door for a while, the cheapest for most.

--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -36,15 +36,15 @@
 SICK = 3.0  # good hops that outweigh one ill one
 QUIET = 3.0  # expected durations without any answer after which a server is thought silent
 PATIENCE = 3.0  # deviations above the mean that a hop may last before another is tried
-HOPS_FROM = 6.0  # hops out at one server; where the learned bound starts
-HOPS_MOST = 64.0  # hops; no server is thought to have more room than this
-GOOD_TIME = 0.4  # of the quoted time; hops faster than this raise a server's bound
-BAD_TIME = 0.7  # of the quoted time; hops slower than this lower it
-CUT = 0.9  # what is left of a server's bound after a hop too slow
+HOPS_FROM = 4.0  # hops out at one server, of all limiters; where the bound starts: about two a core
+GROW = 0.05  # hops added to the bound by a hop in good time while the bound is felt
+CUT = 0.5  # hops taken off it by one too slow: about one in ten may be
+BAD_TIME = 0.6  # of the quoted time; slower hops speak of a queue, not of large work
+HOLD = 0.25  # of the quoted time that an operation may wait at the door for room or a slot
 SHED_FROM = 0.7  # of all room taken; the cheapest operations are turned back from here on
 COLD_SHARE = 0.4  # of what a cold server may be sent; the rest is for chance and for what we don't know
 END_MARGIN = 6_000  # us before the hard stop; a few rounds of the host's clock
-SLOT_POLL = 10_000  # us between looks for a free slot under a cap on open hops
+POLL = 10_000  # us between looks for room, while held at the door
 
 
 class Decaying:
@@ -279,7 +279,6 @@
         self.address = address
         self.entry: Entry | None = None
         self.out = 0
-        self.bound = HOPS_FROM
         self.silent_from = 0  # since when hops are out and none has come back; 0: not so
         self.stretch, self.hops = Decaying(PACE_LIFE), Decaying(PACE_LIFE)
         self.good, self.ill = Decaying(HEALTH_LIFE), Decaying(HEALTH_LIFE)
@@ -310,6 +309,7 @@
         self.count: dict[str, Decaying] = {}
         self.units: dict[str, Decaying] = {}
         self.carried = Decaying(PACE_LIFE)  # us of work that came back well
+        self.bound = self.out = 0.0  # hops out at all servers, by this limiter
 
     def listed(self, entries: list[Entry], whole: bool) -> None:
         if whole:
@@ -322,7 +322,9 @@
             old, server.entry = server.entry, entry
             if entry.started_us and (old is None or old.started_us != entry.started_us):
                 server.work = Decaying(self.duties.fall_us)
-                server.silent_from, server.ill.value, server.bound = 0, 0.0, HOPS_FROM
+                server.silent_from, server.ill.value = 0, 0.0
+        if not self.bound:
+            self.bound = max(1.0, HOPS_FROM * len(entries) / self.post.limiters)
 
     def usual(self, category: Category) -> float:
         """us that a hop of this category lasts, on the whole."""
@@ -370,11 +372,7 @@
         return server.work.read(now) + work <= budget
 
     def fullness(self) -> float:
-        out = bound = 0.0
-        for server in self.servers.values():
-            if server.entry is not None and server.entry.state is Listed.READY:
-                out, bound = out + min(server.out, server.bound), bound + server.bound
-        return out / bound if bound else 1.0
+        return self.out / self.bound if self.bound else 1.0
 
     def draw(self, op: Operation, tried: list[Server], allowed) -> Server | None:
         """Draw one at random, odds in step with the room that each is thought to have."""
@@ -384,7 +382,7 @@
             entry = server.entry
             if entry is None or entry.state is not Listed.READY or not allowed(server):
                 continue
-            if server.out >= server.bound or not self.cold_room(server, now, work):
+            if not self.cold_room(server, now, work):
                 continue
             room = entry.size * server.speed(now) * self.warmth(server, now) * server.health(now, usual)
             room /= (1 + server.out) ** 2
@@ -395,6 +393,7 @@
     def sent(self, hop: Hop) -> None:
         server = hop.server
         server.out += 1
+        self.out += 1
         if not server.silent_from:
             server.silent_from = hop.sent
         if server.work is not None:
@@ -404,6 +403,7 @@
         server, now, category = hop.server, self.clock.now_us, hop.operation.category
         hop.out = False
         server.out -= 1
+        self.out -= 1
         took, outcome = report.took_us, report.outcome
         if outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
             server.silent_from = now if server.out else 0
@@ -428,11 +428,12 @@
         if outcome is Outcome.OK or took > usual:
             server.stretch.add(now, min(took / usual, 10.0))
             server.hops.add(now, 1)
-        quoted = category.quoted_us
-        if took > BAD_TIME * quoted or outcome is Outcome.FULL:
-            server.bound = max(1.0, server.bound * CUT)
-        elif outcome is Outcome.OK and took < GOOD_TIME * quoted and server.out + 1 >= server.bound / 2:
-            server.bound = min(HOPS_MOST, server.bound + 1 / server.bound)
+        if took > BAD_TIME * category.quoted_us or outcome is Outcome.FULL:
+            # One bad server is its own trouble: what is already thought ill says little of the fleet.
+            blame = min(1.0, server.health(now, usual) * server.speed(now))
+            self.bound = max(1.0, self.bound - CUT * blame)
+        elif outcome is Outcome.OK and self.out + 1 >= SHED_FROM * self.bound:
+            self.bound += GROW
 
 
 class Limiter:
@@ -488,10 +489,7 @@
 
     def operation(self, op: Operation) -> Generator:
         account = self.account(op)
-        if self.too_cheap(op):
-            yield Answer(Verdict.TURN_BACK, self.advice(self.fleet.usual(op.category)))
-            return
-        if (yield from self.no_slot(op, account)):
+        if not (yield from self.enter(op, account)):
             if not op.over:
                 yield Answer(Verdict.TURN_BACK, self.advice(self.fleet.usual(op.category)))
             return
@@ -503,24 +501,21 @@
             return
         yield from self.serve(op, account)
 
-    def too_cheap(self, op: Operation) -> bool:
-        """Servers are short: the operations that pay least for their work are turned back first."""
-        now = self.clock.now_us
-        value = op.category.payoff * op.plan.price * op.units / self.fleet.expected(op)
+    def enter(self, op: Operation, account: Account) -> Generator:
+        """Hold the operation at the door, for a while, until there is room: the cheapest wait for most."""
+        now, fleet = self.clock.now_us, self.fleet
+        value = op.category.payoff * op.plan.price * op.units / fleet.expected(op)
         self.value.add(now, value)
         self.valued.add(now, 1)
         worth = min(1.0, value * self.valued.read(now) / self.value.read(now))
-        return self.fleet.fullness() > SHED_FROM + (1 - SHED_FROM) * worth
-
-    def no_slot(self, op: Operation, account: Account) -> Generator:
-        """Under a cap on open hops: hold the operation while it can still be answered in good time."""
+        full = SHED_FROM + (1 - SHED_FROM) * worth
         cap = op.plan.open_cap
-        latest = op.arrived_us + op.category.quoted_us - 2 * self.fleet.expected(op)
-        while cap and account.open >= cap:
-            if op.over or self.clock.now_us >= min(latest, op.ends_us - END_MARGIN):
-                return True
-            yield Pause(self.clock.now_us + SLOT_POLL)
-        return False
+        latest = min(now + int(HOLD * op.category.quoted_us), op.ends_us - END_MARGIN)
+        while fleet.fullness() >= full or (cap and account.open >= cap):
+            if op.over or self.clock.now_us >= latest:
+                return False
+            yield Pause(min(self.clock.now_us + POLL, latest))
+        return not op.over
 
     def pays_beyond(self, op: Operation, account: Account) -> bool:
         """Beyond the quota: let in where that earns more than it costs and servers have room."""
