Blame the fleet for slow hops by a server's standing beside it; no copies when full

Cause: a slow hop was discounted by its server's own health, so in a jam of the whole fleet nobody was blamed and the bound never fell; second copies and called-off hops then kept the queues long. Also guards against any overload of all servers; could harm when half the fleet is ill at once, as the mean is then low.

--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -298,6 +298,10 @@
         return health
 
 
+    def standing(self, now: int, usual: float) -> float:
+        return self.speed(now) * self.health(now, usual)
+
+
 class Fleet:
     """The list of servers, and what is thought of each."""
 
@@ -326,6 +330,9 @@
         if not self.bound:
             self.bound = max(1.0, HOPS_FROM * len(entries) / self.post.limiters)
 
+    def ready(self) -> list[Server]:
+        return [each for each in self.servers.values() if each.entry and each.entry.state is Listed.READY]
+
     def usual(self, category: Category) -> float:
         """us that a hop of this category lasts, on the whole."""
         guess = FIRST_GUESS * category.quoted_us
@@ -366,8 +373,7 @@
         warmth = self.warmth(server, now)
         if warmth >= 1.0 or server.work is None:
             return True
-        ready = sum(1 for each in self.servers.values() if each.entry and each.entry.state is Listed.READY)
-        rate = self.carried.read(now) / PACE_LIFE / max(1, ready)
+        rate = self.carried.read(now) / PACE_LIFE / max(1, len(self.ready()))
         budget = COLD_SHARE * self.duties.fall_multiple * warmth * rate * self.duties.fall_us
         return server.work.read(now) + work <= budget
 
@@ -378,13 +384,10 @@
         """Draw one at random, odds in step with the room that each is thought to have."""
         now, usual, work = self.clock.now_us, self.usual(op.category), self.expected(op)
         choices, odds = [], []
-        for server in self.servers.values():
-            entry = server.entry
-            if entry is None or entry.state is not Listed.READY or not allowed(server):
+        for server in self.ready():
+            if not allowed(server) or not self.cold_room(server, now, work):
                 continue
-            if not self.cold_room(server, now, work):
-                continue
-            room = entry.size * server.speed(now) * self.warmth(server, now) * server.health(now, usual)
+            room = server.entry.size * self.warmth(server, now) * server.standing(now, usual)
             room /= (1 + server.out) ** 2
             choices.append(server)
             odds.append(room * (0.05 if server in tried else 1.0))
@@ -430,7 +433,10 @@
             server.hops.add(now, 1)
         if took > BAD_TIME * category.quoted_us or outcome is Outcome.FULL:
             # One bad server is its own trouble: what is already thought ill says little of the fleet.
-            blame = min(1.0, server.health(now, usual) * server.speed(now))
+            # Measured against the fleet, so that when all are slow together none is to blame for it.
+            ready = self.ready()
+            mean = sum(each.standing(now, usual) for each in ready) / max(1, len(ready))
+            blame = min(1.0, server.standing(now, usual) / mean) if mean else 1.0
             self.bound = max(1.0, self.bound - CUT * blame)
         elif outcome is Outcome.OK and self.out + 1 >= SHED_FROM * self.bound:
             self.bound += GROW
@@ -592,6 +598,9 @@
                     if category.repeat is Repeat.UNREPEATABLE or self.clock.now_us >= late:
                         again = stop
                         continue
+                    if fleet.fullness() > SHED_FROM:  # a copy now would only lengthen the queues
+                        again = self.clock.now_us + patience
+                        continue
                     if not self.leave.second_copies:
                         if not self.leave.cancel:
                             again = stop
