--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -37,9 +37,9 @@
 QUIET = 3.0  # expected durations without any answer after which a server is thought silent
 PATIENCE = 3.0  # deviations above the mean that a hop may last before another is tried
 HOPS_FROM = 4.0  # hops out at one server, of all limiters; where the bound starts: about two a core
-GROW = 0.05  # hops added to the bound by a hop in good time while the bound is felt
-CUT = 0.5  # hops taken off it by one too slow: about one in ten may be
-BAD_TIME = 0.6  # of the quoted time; slower hops speak of a queue, not of large work
+STEER = 0.1  # hops that the bound moves by with each hop that lands, at most: about a tenth a round trip
+GOOD_TIME = 0.25  # of the quoted time; what hops may last in the mean, work and queue together
+STEER_LIFE = 2 * SECOND  # us; how long a hop steers the bound, a few round trips
 HOLD = 0.25  # of the quoted time that an operation may wait at the door for room or a slot
 SHED_FROM = 0.7  # of all room taken; the cheapest operations are turned back from here on
 COLD_SHARE = 0.4  # of what a cold server may be sent; the rest is for chance and for what we don't know
@@ -314,6 +314,7 @@
         self.units: dict[str, Decaying] = {}
         self.carried = Decaying(PACE_LIFE)  # us of work that came back well
         self.bound = self.out = 0.0  # hops out at all servers, by this limiter
+        self.lasted, self.landings = Decaying(STEER_LIFE), Decaying(STEER_LIFE)
 
     def listed(self, entries: list[Entry], whole: bool) -> None:
         if whole:
@@ -431,15 +432,17 @@
         if outcome is Outcome.OK or took > usual:
             server.stretch.add(now, min(took / usual, 10.0))
             server.hops.add(now, 1)
-        if took > BAD_TIME * category.quoted_us or outcome is Outcome.FULL:
-            # One bad server is its own trouble: what is already thought ill says little of the fleet.
-            # Measured against the fleet, so that when all are slow together none is to blame for it.
+        if outcome is Outcome.OK or took > usual:
+            # One bad server is its own trouble: what is thought ill beside the others says little of the
+            # fleet. Beside the others, so that when all are slow together each still counts in full.
             ready = self.ready()
             mean = sum(each.standing(now, usual) for each in ready) / max(1, len(ready))
             blame = min(1.0, server.standing(now, usual) / mean) if mean else 1.0
-            self.bound = max(1.0, self.bound - CUT * blame)
-        elif outcome is Outcome.OK and self.out + 1 >= SHED_FROM * self.bound:
-            self.bound += GROW
+            self.lasted.add(now, blame * min(took / category.quoted_us, 2.0))
+            self.landings.add(now, blame)
+            good = 1 - self.lasted.read(now) / (GOOD_TIME * (self.landings.read(now) + 0.1))
+            if good < 0 or self.out + 1 >= SHED_FROM * self.bound:
+                self.bound = max(1.0, self.bound + STEER * max(-1.0, min(1.0, good)))
 
 
 class Limiter:
