Count overdue hops by their age in a server's load

Cause: with many limiters each sees one or two hops of a server that holds eighteen; what has not landed was not in its time. Also covers silent servers; could harm where single operations are far larger than the mean.

--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -278,7 +278,7 @@
     def __init__(self, address: str) -> None:
         self.address = address
         self.entry: Entry | None = None
-        self.out = 0
+        self.out: dict[Hop, None] = {}
         self.silent_from = 0  # since when hops are out and none has come back; 0: not so
         self.stretch, self.hops = Decaying(PACE_LIFE), Decaying(PACE_LIFE)
         self.good, self.ill = Decaying(HEALTH_LIFE), Decaying(HEALTH_LIFE)
@@ -298,6 +298,11 @@
         return health
 
 
+    def load(self, now: int, usual: float) -> float:
+        """Hops out, the overdue ones counted by how long they are out: they tell of a queue before any lands
+        (guards against many limiters that each see little of a server)."""
+        return sum(max(1.0, (now - hop.sent) / usual) for hop in self.out)
+
     def standing(self, now: int, usual: float) -> float:
         return self.speed(now) * self.health(now, usual)
 
@@ -389,14 +394,14 @@
             if not allowed(server) or not self.cold_room(server, now, work):
                 continue
             room = server.entry.size * self.warmth(server, now) * server.standing(now, usual)
-            room /= (1 + server.out) ** 2
+            room /= (1 + server.load(now, usual)) ** 2
             choices.append(server)
             odds.append(room * (0.05 if server in tried else 1.0))
         return self.random.choices(choices, odds)[0] if choices else None
 
     def sent(self, hop: Hop) -> None:
         server = hop.server
-        server.out += 1
+        server.out[hop] = None
         self.out += 1
         if not server.silent_from:
             server.silent_from = hop.sent
@@ -406,7 +411,7 @@
     def landed(self, hop: Hop, report: Report) -> None:
         server, now, category = hop.server, self.clock.now_us, hop.operation.category
         hop.out = False
-        server.out -= 1
+        del server.out[hop]
         self.out -= 1
         took, outcome = report.took_us, report.outcome
         if outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
