--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -121,7 +121,7 @@
         now, plan, self.gateways = clock.now_us, first.plan, first.gateways
         self.clock, self.counter, self.plan, self.customer = clock, counter, plan, first.customer
         self.store: Bucket | None = None  # the quota's store, as the counter's totals tell it
-        self.name = self.epoch = 0
+        self.name, self.epoch = 0, -1
         self.seen = self.own = 0.0  # the total last read, and our own part of it
         self.lease, self.lease_ends, self.owed = 0.0, 0, 0.0
         share = SLICE / self.gateways
--- /dev/null
+++ b/tests/test_decide.py
@@ -0,0 +1,139 @@
+"""The module under seeded chance, with each rule checked at each step, and a few plain cases."""
+
+import pytest
+from helpers import CATEGORIES, PLANS, SECOND, World
+
+from lapisgrade.interface import Listed, Outcome, Verdict
+
+READY, DRAINING, GONE = Listed.READY, Listed.DRAINING, Listed.GONE
+
+
+def finished(world):
+    return sum(1 for _, how, _ in world.answers if how is Outcome.OK)
+
+
+def turned_back(world):
+    return sum(1 for _, how, _ in world.answers if how is not Outcome.OK and how.verdict is Verdict.TURN_BACK)
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_rules_hold_under_chance(seed):
+    world = World(seed, limiters=1 + seed % 4, second_copies=seed % 3 > 0)
+    random, taken, restarted = world.random, 0, 0
+    for _ in range(400):
+        world.run(world.now + random.randrange(1_000, 60_000))
+        i, event = random.randrange(world.limiters), random.random()
+        if event < 0.88:
+            plan = random.randrange(len(PLANS))
+            budget = random.randrange(30_000, 3 * SECOND) if random.random() < 0.3 else None
+            category = random.randrange(len(CATEGORIES))
+            customer, units = f"c{plan}{random.randrange(3)}", random.randrange(1, 5)
+            op = world.arrive(i, category, plan, customer, units, budget)
+            taken += 1
+            if random.random() < 0.05:
+                world.at(random.randrange(1, SECOND), world.gates[i].leave, op)
+        elif event < 0.94:
+            name = f"s{random.randrange(6)}"
+            world.list(**{name: random.choice([READY, READY, DRAINING, GONE])})
+        elif event < 0.96:
+            world.silent = not world.silent
+        elif event < 0.98:
+            world.counts.clear()  # the counter is emptied
+        else:
+            world.start(i)
+            restarted += 1
+    world.run(world.now + 20 * SECOND)
+    assert all(not gate.owed for gate in world.gates)
+    assert finished(world) > 20 and len(world.answers) <= taken
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_ceiling_holds_whatever_the_counter_says(seed):
+    """Counter silent or emptied, limiters restarted, all traffic gathered on one: never past the ceiling."""
+    world = World(seed, limiters=2 + seed % 2, chances=(1, 0, 0, 0, 0, 0))
+    random = world.random
+    for step in range(600):
+        world.silent = step // 100 % 2 == 1
+        if random.random() < 0.02:
+            world.counts.clear()
+        if random.random() < 0.02:
+            world.start(random.randrange(world.limiters))
+        gathered = step // 150 % 2 == 0
+        world.arrive(0 if gathered else random.randrange(world.limiters), 0, 1, "hot", random.randrange(1, 5))
+        world.run(world.now + 15_000)
+    assert len(world.ran) > 40
+
+
+def test_quota_is_one_store_over_all_limiters():
+    world = World(1, chances=(1, 0, 0, 0, 0, 0))
+    for step in range(300):
+        world.arrive(step % 3)
+        world.run(world.now + 50_000)
+    allowed = PLANS[0].burst + PLANS[0].rate * 15
+    assert allowed * 0.8 <= len(world.ran) <= allowed + 3
+
+
+def test_emptied_counter_grants_no_second_burst():
+    world = World(2, limiters=2, chances=(1, 0, 0, 0, 0, 0))
+    for step in range(60):
+        world.arrive(step % 2)
+        world.run(world.now + 10_000)
+    before = len(world.ran)
+    world.counts.clear()
+    for step in range(60):
+        world.arrive(step % 2)
+        world.run(world.now + 10_000)
+    assert len(world.ran) - before <= PLANS[0].rate * 0.6 + 2
+
+
+def test_silent_counter_leaves_a_share():
+    world = World(3, chances=(1, 0, 0, 0, 0, 0))
+    world.silent = True
+    for step in range(300):
+        world.arrive(step % 3)
+        world.run(world.now + 50_000)
+    allowed = PLANS[0].burst + PLANS[0].rate * 15
+    assert allowed * 0.5 < len(world.ran) < allowed * 2.2
+
+
+def test_refusal_tells_when_to_come_back():
+    world = World(4, limiters=1, chances=(1, 0, 0, 0, 0, 0))
+    for _ in range(20):
+        world.arrive(0)
+        world.run(world.now + 5_000)
+    back = [how for _, how, _ in world.answers if how is not Outcome.OK]
+    assert back and all(0 < how.come_back_us <= 500_000 for how in back)
+
+
+def test_unrepeatable_that_may_have_run_is_given_up():
+    world = World(5, limiters=1, chances=(0, 1, 0, 0, 0, 0))
+    world.arrive(0, category=2)
+    world.run(world.now + SECOND)
+    assert [how.verdict for _, how, _ in world.answers] == [Verdict.GIVE_UP] and len(world.ran) == 1
+
+
+def test_refused_connection_is_tried_elsewhere():
+    world = World(6, limiters=1, chances=(0, 0, 0, 1, 0, 0))
+    world.arrive(0, category=2)
+    world.run(world.now + SECOND)
+    assert [how.verdict for _, how, _ in world.answers] == [Verdict.TURN_BACK] and len(world.ran) > 1
+
+
+def test_empty_list_turns_back_at_once():
+    world = World(7, limiters=1, servers=1)
+    world.list(s0=GONE)
+    world.arrive(0)
+    world.run(world.now + SECOND)
+    assert turned_back(world) == 1 and not world.ran
+
+
+def test_cold_server_gets_a_small_part():
+    world = World(8, limiters=1, servers=4, chances=(1, 0, 0, 0, 0, 0))
+    for step in range(400):
+        if step == 200:
+            world.list(s0=GONE)
+            world.list(s0=READY)
+        world.arrive(0, customer=f"c{step}")
+        world.run(world.now + 30_000)
+    late = [sent for sent in world.ran[200:] if sent.name == "s0"]
+    assert len(late) < 0.25 * len(world.ran[200:]) * 0.75
