--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -44,6 +44,8 @@
 SHED_FROM = 0.7  # of all room taken; the cheapest operations are turned back from here on
 COLD_SHARE = 0.4  # of what a cold server may be sent; the rest is for chance and for what we don't know
 END_MARGIN = 6_000  # us before the hard stop; a few rounds of the host's clock
+ELSEWHERE_LIFE = 2 * SECOND  # us; how long the others' use is remembered, short of traffic's moves
+OPEN_DOUBT = 0.5  # hops under a cap; the others' are known in the mean only, and a wait costs little
 POLL = 10_000  # us between looks for room, while held at the door
 
 
@@ -134,9 +136,15 @@
                 now, plan.ceiling_rate / self.gateways, plan.ceiling_burst / self.gateways, 0.0
             )
         self.open = 0
+        self.elsewhere = Decaying(ELSEWHERE_LIFE)  # units that the other limiters let in of late
         self.queue: list[Waiting] = []
         self.calling = False
 
+    def slot(self, now: int, units: float, lasts: float) -> bool:
+        """Whether the cap on open hops leaves a slot, beside what the other limiters likely have out."""
+        others = self.elsewhere.read(now) / units * lasts / ELSEWHERE_LIFE
+        return not self.plan.open_cap or self.open + others < self.plan.open_cap - OPEN_DOUBT
+
     def room(self, now: int) -> float:
         return self.plan.burst if self.store is None else self.store.read(now)
 
@@ -250,6 +258,7 @@
         others = before if emptied else before - self.seen
         if emptied:
             self.own = 0.0
+        self.elsewhere.add(now, max(0.0, others))
         if self.store is None:
             since = (now % EPOCH) / SECOND * plan.rate
             self.store = Bucket(now, plan.rate, plan.burst, min(plan.burst, plan.burst + since - before))
@@ -523,9 +532,8 @@
         self.valued.add(now, 1)
         worth = min(1.0, value * self.valued.read(now) / self.value.read(now))
         full = SHED_FROM + (1 - SHED_FROM) * worth
-        cap = op.plan.open_cap
         latest = min(now + int(HOLD * op.category.quoted_us), op.ends_us - END_MARGIN)
-        while fleet.fullness() >= full or (cap and account.open >= cap):
+        while fleet.fullness() >= full or not account.slot(self.clock.now_us, op.units, fleet.expected(op)):
             if op.over or self.clock.now_us >= latest:
                 return False
             yield Pause(min(self.clock.now_us + POLL, latest))
