--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -45,7 +45,7 @@
 COLD_SHARE = 0.4  # of what a cold server may be sent; the rest is for chance and for what we don't know
 END_MARGIN = 6_000  # us before the hard stop; a few rounds of the host's clock
 ELSEWHERE_LIFE = 2 * SECOND  # us; how long the others' use is remembered, short of traffic's moves
-OPEN_DOUBT = 0.5  # hops under a cap; the others' are known in the mean only, and a wait costs little
+OPEN_DOUBT = 0.8  # hops under a cap; the others' are known in the mean only, and a wait costs little
 POLL = 10_000  # us between looks for room, while held at the door
 
 
