Take a busy customer's store for drained at a limiter's first look

Cause: a limiter that came back read a full burst into the count of a customer that spends all it gets. The statistics of hops of one category now stand in one class. Could harm a customer that began to spend just before the limiter came back.

--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -260,8 +260,13 @@
             self.own = 0.0
         self.elsewhere.add(now, max(0.0, others))
         if self.store is None:
-            since = (now % EPOCH) / SECOND * plan.rate
-            self.store = Bucket(now, plan.rate, plan.burst, min(plan.burst, plan.burst + since - before))
+            # A first look: the count tells the use since the epoch began. One that uses all that flows in is
+            # taken for drained (guards against a full burst from each limiter that comes back).
+            filled = (now % EPOCH) / SECOND * plan.rate
+            level = min(plan.burst, plan.burst + filled - before)
+            if filled > plan.burst:
+                level = min(level, 2 * plan.burst * max(0.0, 1 - before / filled))
+            self.store = Bucket(now, plan.rate, plan.burst, level)
         else:
             store = self.store
             store.level = min(plan.burst, store.level + plan.rate * (now - store.at) / SECOND - others)
@@ -271,6 +276,34 @@
         return got.tally
 
 
+class Pace:
+    """What hops of one category took of late."""
+
+    def __init__(self, guess: float) -> None:
+        self.guess = guess
+        self.took, self.square = Decaying(PACE_LIFE), Decaying(PACE_LIFE)
+        self.hops, self.units = Decaying(PACE_LIFE), Decaying(PACE_LIFE)
+
+    def add(self, now: int, took: int, units: float) -> None:
+        self.took.add(now, took)
+        self.square.add(now, took * took)
+        self.hops.add(now, 1)
+        self.units.add(now, units)
+
+    def mean(self, now: int) -> float:
+        return (self.took.read(now) + PRIOR * self.guess) / (self.hops.read(now) + PRIOR)
+
+    def deviation(self, now: int) -> float:
+        mean = self.mean(now)
+        square = (self.square.read(now) + PRIOR * 2 * mean * mean) / (self.hops.read(now) + PRIOR)
+        return math.sqrt(max(square - mean * mean, mean * mean / 4))
+
+    def expected(self, now: int, units: float) -> float:
+        """us for an operation of so many units; half of a hop's time is taken to go with its units."""
+        typical = (self.units.read(now) + units) / (self.hops.read(now) + 1)
+        return self.mean(now) * (0.5 + 0.5 * units / typical) if typical > 0 else self.mean(now)
+
+
 class Hop:
     """One sending of an operation to one server."""
 
@@ -319,13 +352,10 @@
 class Fleet:
     """The list of servers, and what is thought of each."""
 
-    def __init__(self, clock: Clock, random: Random, post: Post, duties: Duties) -> None:
+    def __init__(self, clock: Clock, random: Random, post: Post, duties: Duties, categories: list) -> None:
         self.clock, self.random, self.post, self.duties = clock, random, post, duties
         self.servers: dict[str, Server] = {}
-        self.took: dict[str, Decaying] = {}
-        self.squares: dict[str, Decaying] = {}
-        self.count: dict[str, Decaying] = {}
-        self.units: dict[str, Decaying] = {}
+        self.paces = {each.name: Pace(FIRST_GUESS * each.quoted_us) for each in categories}
         self.carried = Decaying(PACE_LIFE)  # us of work that came back well
         self.bound = self.out = 0.0  # hops out at all servers, by this limiter
         self.lasted, self.landings = Decaying(STEER_LIFE), Decaying(STEER_LIFE)
@@ -350,31 +380,10 @@
 
     def usual(self, category: Category) -> float:
         """us that a hop of this category lasts, on the whole."""
-        guess = FIRST_GUESS * category.quoted_us
-        if category.name not in self.took:
-            return guess
-        now = self.clock.now_us
-        return (self.took[category.name].read(now) + PRIOR * guess) / (
-            self.count[category.name].read(now) + PRIOR
-        )
-
-    def deviation(self, category: Category) -> float:
-        mean = self.usual(category)
-        if category.name not in self.took:
-            return mean
-        now = self.clock.now_us
-        square = (self.squares[category.name].read(now) + PRIOR * 2 * mean * mean) / (
-            self.count[category.name].read(now) + PRIOR
-        )
-        return math.sqrt(max(square - mean * mean, mean * mean / 4))
+        return self.paces[category.name].mean(self.clock.now_us)
 
     def expected(self, op: Operation) -> float:
-        mean, name = self.usual(op.category), op.category.name
-        if name not in self.units:
-            return mean
-        now = self.clock.now_us
-        typical = (self.units[name].read(now) + op.units) / (self.count[name].read(now) + 1)
-        return mean * (0.5 + 0.5 * op.units / typical) if typical > 0 else mean
+        return self.paces[op.category.name].expected(self.clock.now_us, op.units)
 
     def warmth(self, server: Server, now: int) -> float:
         """The share of its capacity that a server surely has."""
@@ -431,14 +440,7 @@
             return
         usual = self.expected(hop.operation)
         if outcome is Outcome.OK:
-            name = category.name
-            for sums, amount in (
-                (self.took, took),
-                (self.squares, took * took),
-                (self.count, 1),
-                (self.units, hop.operation.units),
-            ):
-                sums.setdefault(name, Decaying(PACE_LIFE)).add(now, amount)
+            self.paces[category.name].add(now, took, hop.operation.units)
             self.carried.add(now, usual)
             server.good.add(now, 1)
         elif outcome is not Outcome.CANCELLED or took > QUIET * usual:
@@ -463,23 +465,13 @@
     """The door: takes operations, and decides on each until its one final answer."""
 
     def __init__(
-        self,
-        clock: Clock,
-        seed: int,
-        post: Post,
-        desk: Desk,
-        categories: list[Category],
-        plans: list[Plan],
-        duties: Duties,
-        leave: Leave,
-        tariff: Tariff,
-        subscribes: bool,
-        reports: tuple[str, ...],
+        self, clock: Clock, seed: int, post: Post, desk: Desk, categories: list[Category], plans: list[Plan],
+        duties: Duties, leave: Leave, tariff: Tariff, subscribes: bool, reports: tuple[str, ...],
     ) -> None:
         self.clock, self.leave, self.subscribes = clock, leave, subscribes
         self.counter = Counter(desk.calls)
         self.accounts: dict[str, Account] = {}
-        self.fleet = Fleet(clock, Random(seed), post, duties)
+        self.fleet = Fleet(clock, Random(seed), post, duties, categories)
         self.value, self.valued = Decaying(PACE_LIFE), Decaying(PACE_LIFE)
 
     # ---- news
@@ -595,7 +587,7 @@
                 account.open += 1
                 fleet.sent(hop)
                 yield Send(hop)
-            patience = int(fleet.expected(op) + PATIENCE * fleet.deviation(category))
+            patience = int(fleet.expected(op) + PATIENCE * fleet.paces[category.name].deviation(now))
             last = len(hops) >= self.leave.hops or server is None
             again = now + patience if not last else stop
             while True:
