Spread what other limiters took over the time since the last look

Cause: the store's refill was capped when read and the others' use taken off after, so calm customers that come in by several limiters were turned back with a full store (levels of -10 beside a true 11).

--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -76,9 +76,10 @@
         self.rate, self.burst, self.level, self.at = rate, burst, level, now
 
     def read(self, now: int) -> float:
-        self.level = min(self.burst, self.level + self.rate * (now - self.at) / SECOND)
-        self.at = now
-        return self.level
+        return min(self.burst, self.level + self.rate * (now - self.at) / SECOND)
+
+    def put(self, now: int, level: float) -> None:
+        self.level, self.at = level, now
 
     def wait(self, now: int, units: float) -> int:
         return max(0, math.ceil((units - self.read(now)) / self.rate * SECOND)) if self.rate > 0 else SECOND
@@ -185,9 +186,9 @@
         return self.take(now, units)
 
     def take(self, now: int, units: float) -> None:
-        self.slice.level = max(0.0, self.slice.read(now) - units)
+        self.slice.put(now, max(0.0, self.slice.read(now) - units))
         if self.ceiling is not None:
-            self.ceiling.level = self.ceiling.read(now) - units
+            self.ceiling.put(now, self.ceiling.read(now) - units)
 
     def alone(self, now: int, units: float) -> int | None:
         """No word from the counter: the local slice decides, and the count is told later."""
@@ -268,9 +269,10 @@
                 level = min(level, 2 * plan.burst * max(0.0, 1 - before / filled))
             self.store = Bucket(now, plan.rate, plan.burst, level)
         else:
-            store = self.store
-            store.level = min(plan.burst, store.level + plan.rate * (now - store.at) / SECOND - others)
-            store.at = now
+            # What the others took is spread over the time since our last look: capping the refill before
+            # taking it off would leave too little (guards calm customers that come in by several limiters).
+            refill = plan.rate * (now - self.store.at) / SECOND
+            self.store.put(now, min(plan.burst, self.store.level + refill - others))
         self.store.level -= amount
         self.seen, self.own = got.total, self.own + amount
         return got.tally
