--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -44,6 +44,7 @@
 SHED_FROM = 0.7  # of all room taken; the cheapest operations are turned back from here on
 COLD_SHARE = 0.4  # of what a cold server may be sent; the rest is for chance and for what we don't know
 END_MARGIN = 6_000  # us before the hard stop; a few rounds of the host's clock
+EARLY = 0.5  # how early the others' takes are thought to be; a refusal and an excess cost about the same
 ELSEWHERE_LIFE = 2 * SECOND  # us; how long the others' use is remembered, short of traffic's moves
 OPEN_DOUBT = 0.8  # hops under a cap; the others' are known in the mean only, and a wait costs little
 POLL = 10_000  # us between looks for room, while held at the door
@@ -269,10 +270,12 @@
                 level = min(level, 2 * plan.burst * max(0.0, 1 - before / filled))
             self.store = Bucket(now, plan.rate, plan.burst, level)
         else:
-            # What the others took is spread over the time since our last look: capping the refill before
-            # taking it off would leave too little (guards calm customers that come in by several limiters).
-            refill = plan.rate * (now - self.store.at) / SECOND
-            self.store.put(now, min(plan.burst, self.store.level + refill - others))
+            # The others' takes since our last look came early (the refill made them good) or just now (it was
+            # capped before): no one knows, so the store is thought halfway between (guards calm customers
+            # that come in by several limiters against refusals, and the quota against their bursts).
+            filled = self.store.level + plan.rate * (now - self.store.at) / SECOND
+            late, early = min(plan.burst, filled) - others, min(plan.burst, filled - others)
+            self.store.put(now, late + EARLY * (early - late))
         self.store.level -= amount
         self.seen, self.own = got.total, self.own + amount
         return got.tally
