Send a cold server one operation now and then whatever is known

Found by reading: a limiter that has carried nothing had a cold budget of nothing, so a fleet that is all cold was never used again. The new test fails without the change. Could harm only where limiters x span is far too short for a very small server.

--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -330,6 +330,7 @@
         self.stretch, self.hops = Decaying(PACE_LIFE), Decaying(PACE_LIFE)
         self.good, self.ill = Decaying(HEALTH_LIFE), Decaying(HEALTH_LIFE)
         self.work: Decaying | None = None  # sent of late, while cold
+        self.last_sent = 0
 
     def speed(self, now: int) -> float:
         """How fast beside the fleet; hops too slow to have come back are not in it."""
@@ -402,6 +403,10 @@
         warmth = self.warmth(server, now)
         if warmth >= 1.0 or server.work is None:
             return True
+        # One at a time now and then whatever is known, so that a limiter that knows nothing, or a fleet that
+        # is all cold, gets going; so seldom that all limiters together send one in the span of the rule.
+        if now - server.last_sent >= self.post.limiters * self.duties.fall_us:
+            return True
         rate = self.carried.read(now) / PACE_LIFE / max(1, len(self.ready()))
         budget = COLD_SHARE * self.duties.fall_multiple * warmth * rate * self.duties.fall_us
         return server.work.read(now) + work <= budget
@@ -424,7 +429,7 @@
 
     def sent(self, hop: Hop) -> None:
         server = hop.server
-        server.out[hop] = None
+        server.out[hop], server.last_sent = None, hop.sent
         self.out += 1
         if not server.silent_from:
             server.silent_from = hop.sent
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -137,3 +137,14 @@
         world.run(world.now + 30_000)
     late = [sent for sent in world.ran[200:] if sent.name == "s0"]
     assert len(late) < 0.25 * len(world.ran[200:]) * 0.75
+
+
+def test_fleet_that_is_all_cold_gets_going():
+    """Found by reading: with nothing carried yet the cold budget was nil for good."""
+    world = World(9, limiters=2, servers=2, chances=(1, 0, 0, 0, 0, 0))
+    for state in (GONE, READY):
+        world.list(s0=state, s1=state)
+    for step in range(200):
+        world.arrive(step % 2, customer=f"c{step}")
+        world.run(world.now + 50_000)
+    assert finished(world) > 12
