--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -47,6 +47,7 @@
 EARLY = 0.5  # how early the others' takes are thought to be; a refusal and an excess cost about the same
 ELSEWHERE_LIFE = 2 * SECOND  # us; how long the others' use is remembered, short of traffic's moves
 OPEN_DOUBT = 0.8  # hops under a cap; the others' are known in the mean only, and a wait costs little
+CROWD = 0.5  # of the bound on hops out; with so many held, more would wait in vain and are told at once
 POLL = 10_000  # us between looks for room, while held at the door
 
 
@@ -482,6 +483,7 @@
         self.counter = Counter(desk.calls)
         self.accounts: dict[str, Account] = {}
         self.fleet = Fleet(clock, Random(seed), post, duties, categories)
+        self.held = 0  # operations waiting at the door
         self.value, self.valued = Decaying(PACE_LIFE), Decaying(PACE_LIFE)
 
     # ---- news
@@ -535,11 +537,17 @@
         worth = min(1.0, value * self.valued.read(now) / self.value.read(now))
         full = SHED_FROM + (1 - SHED_FROM) * worth
         latest = min(now + int(HOLD * op.category.quoted_us), op.ends_us - END_MARGIN)
-        while fleet.fullness() >= full or not account.slot(self.clock.now_us, op.units, fleet.expected(op)):
-            if op.over or self.clock.now_us >= latest:
-                return False
-            yield Pause(min(self.clock.now_us + POLL, latest))
-        return not op.over
+        held = room = False
+        while not op.over:
+            now = self.clock.now_us
+            room = fleet.fullness() < full and account.slot(now, op.units, fleet.expected(op))
+            if room or now >= latest or (not held and self.held >= CROWD * fleet.bound):
+                break
+            self.held += not held
+            held = True
+            yield Pause(min(now + POLL, latest))
+        self.held -= held
+        return room
 
     def pays_beyond(self, op: Operation, account: Account) -> bool:
         """Beyond the quota: let in where that earns more than it costs and servers have room."""
