Take back what unanswered calls added, once a total shows it

Cause: a call that timed out was mostly counted all the same, while its operation went by the local slice, which posted it again: the count ran ahead of what was sent and quotas shrank (75% turned back with room). Told apart from heavy customers by the counter having recovered while refusals grew. The new test fails without it. Could over-grant if others took just as much meanwhile.

--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -128,6 +128,7 @@
         self.store: Bucket | None = None  # the quota's store, as the counter's totals tell it
         self.name, self.epoch = 0, -1
         self.seen = self.own = 0.0  # the total last read, and our own part of it
+        self.unsure = 0.0  # added by calls that got no answer
         self.lease, self.lease_ends, self.owed = 0.0, 0, 0.0
         share = SLICE / self.gateways
         self.slice = Bucket(now, plan.rate * share, plan.burst * share, plan.burst * share)
@@ -246,12 +247,13 @@
         if epoch != self.epoch:
             digest = blake2b(f"{self.customer} {epoch}".encode(), digest_size=8).digest()
             self.epoch, self.name = epoch, int.from_bytes(digest, "big") >> 1
-            self.seen = self.own = 0.0
+            self.seen = self.own = self.unsure = 0.0
         name = self.name
         got: Total = yield Add(name, amount, NAME_LIFE)
         now = self.clock.now_us
         self.counter.heard(now, got.tally)
         if got.tally is not Tally.ADDED or name != self.name:
+            self.unsure += amount if got.tally is Tally.SILENT and name == self.name else 0.0
             return got.tally
         before = got.total - amount
         plan = self.plan
@@ -261,6 +263,10 @@
         others = before if emptied else before - self.seen
         if emptied:
             self.own = 0.0
+        # What the total grew by may be our own calls that got no answer: they were counted after all, bought
+        # nothing, and are taken back (guards a crowded counter against counting what was never sent).
+        landed = max(0.0, min(others, self.unsure))
+        others, self.owed, self.own, self.unsure = others - landed, self.owed - landed, self.own + landed, 0.0
         self.elsewhere.add(now, max(0.0, others))
         if self.store is None:
             # A first look: the count tells the use since the epoch began. One that uses all that flows in is
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -47,7 +47,7 @@
     def __init__(self, seed, limiters=3, servers=6, second_copies=True, chances=(70, 8, 6, 6, 5, 5)):
         self.random, self.now, self.queue, self.order = Random(seed), 7 * SECOND, [], 0
         self.limiters, self.second_copies, self.chances = limiters, second_copies, chances
-        self.counts, self.silent, self.gates = {}, False, [None] * limiters
+        self.counts, self.silent, self.lossy, self.gates = {}, False, 0.0, [None] * limiters
         self.entries = {
             f"s{i}": Entry(f"s{i}", Listed.READY, f"z{i % 2}", i % 3, 1.0) for i in range(servers)
         }
@@ -194,6 +194,8 @@
             return
         world.counts[add.name] = world.counts.get(add.name, 0.0) + add.amount
         total = Total(Tally.ADDED, world.counts[add.name])
+        if world.random.random() < world.lossy:
+            total = Total(Tally.SILENT)
         world.at(world.random.randrange(800, 4_000), self.counted, task, total)
 
     def counted(self, task, total):
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -148,3 +148,14 @@
         world.arrive(step % 2, customer=f"c{step}")
         world.run(world.now + 50_000)
     assert finished(world) > 12
+
+
+def test_unanswered_calls_that_were_counted_are_taken_back():
+    """Found in an incident with a crowded counter: what was never sent was counted, and quotas shrank."""
+    world = World(10, limiters=1, chances=(1, 0, 0, 0, 0, 0))
+    world.lossy = 0.5
+    for _ in range(400):
+        world.arrive(0, plan=2, units=5)
+        world.run(world.now + 50_000)
+    units = 5 * len(world.ran)
+    assert units > 0.75 * (PLANS[2].burst + PLANS[2].rate * 20)
