--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -3,20 +3,19 @@
 A host makes one `Limiter` per process and moves its clock. For each operation taken it runs
 `limiter.operation(op)`, a generator that yields what it wants done and is resumed with the result; the
 end of every hop goes to `limiter.landed(hop, report)` first and then to the operation. News of servers
-goes to `limiter.listed` and `limiter.checked`; `limiter.upkeep()` runs beside it all from the start on.
+goes to `limiter.listed`.
 What comes in, what is asked for and what is read at start stands in lapisgrade/interface.py; the engine
 that resumes the generators is lapisgrade/engine.py. docs/design.md says why each thing is as it is.
 """
 
 import math
-from collections.abc import Generator
+from collections.abc import Callable, Generator
 from hashlib import blake2b
 from random import Random
 
 from lapisgrade.interface import (
-    Add, Answer, Cancel, Category, Clock, Desk, Duties, Entry, Group, Launch, Leave, Listed,
-    Operation, Outcome, Pause, Plan, Post, Repeat, Report, Send, Tally, Tariff, Total, Verdict,
-    Wake, Word,
+    Add, Answer, Cancel, Category, Clock, Desk, Duties, Entry, Group, Launch, Leave, Listed, Operation,
+    Outcome, Pause, Post, Repeat, Report, Send, Tally, Total, Verdict, Wake, Word,
 )
 
 SECOND = 1_000_000  # us
@@ -134,24 +133,23 @@
         self.slice = Bucket(now, plan.rate * share, plan.burst * share, plan.burst * share)
         # The ceiling is split evenly and a share starts empty: the shares then never hold more than the
         # one store does, whatever an earlier life of this limiter spent (guards rule 5 at restarts).
-        self.ceiling = None
-        if plan.ceiling_rate > 0:
-            self.ceiling = Bucket(
-                now, plan.ceiling_rate / self.gateways, plan.ceiling_burst / self.gateways, 0.0
-            )
+        rate, burst = plan.ceiling_rate / self.gateways, plan.ceiling_burst / self.gateways
+        self.ceiling = Bucket(now, rate, burst, 0.0) if rate > 0 else None
         self.open = 0
         self.elsewhere = Decaying(ELSEWHERE_LIFE)  # units that the other limiters let in of late
+        self.others, self.looked, self.lasts = 0.0, now, 1.0  # and those likely still out at the last look
         self.queue: list[Waiting] = []
         self.calling = False
 
     def slot(self, now: int, units: float, lasts: float) -> bool:
-        """Whether the cap on open hops leaves a slot, beside what the other limiters likely have out."""
-        others = self.elsewhere.read(now) / units * lasts / ELSEWHERE_LIFE
+        """Whether the cap on open hops leaves a slot, beside what the other limiters likely have out: what
+        they were last seen to take, as far as it is not over, and since then their usual use."""
+        self.lasts = lasts
+        unseen = math.exp((self.looked - now) / lasts)
+        usual = self.elsewhere.read(now) / ELSEWHERE_LIFE * lasts
+        others = (self.others * unseen + usual * (1 - unseen)) / units
         return not self.plan.open_cap or self.open + others < self.plan.open_cap - OPEN_DOUBT
 
-    def room(self, now: int) -> float:
-        return self.plan.burst if self.store is None else self.store.read(now)
-
     def admit(self, op: Operation) -> Generator:
         """Let the operation in (None), or tell how long until there may be room for it."""
         now, units = self.clock.now_us, op.units
@@ -209,11 +207,8 @@
         while self.queue:
             now = self.clock.now_us
             units = self.queue[0].operation.units
-            if self.store is None:
-                requests = 1
-            else:
-                requests = min(LEASE_MOST, max(1, int(self.room(now) / (2 * self.gateways * units))))
-            want = requests * units
+            room = self.store.read(now) if self.store is not None else 0.0
+            want = min(LEASE_MOST, max(1, int(room / (2 * self.gateways * units)))) * units
             owed, self.owed = self.owed, 0.0
             answer = yield from self.add(want + owed)
             now = self.clock.now_us
@@ -265,13 +260,16 @@
         # what we knew of the store stays, so that no second burst is granted (guards against a flush).
         emptied = before < max(self.own, self.seen - plan.burst / 2) - 1e-3
         others = before if emptied else before - self.seen
-        if emptied:
-            self.own = 0.0
+        self.own = 0.0 if emptied else self.own
         # What the total grew by may be our own calls that got no answer: they were counted after all, bought
         # nothing, and are taken back (guards a crowded counter against counting what was never sent).
         landed = max(0.0, min(others, self.unsure))
         others, self.owed, self.own, self.unsure = others - landed, self.owed - landed, self.own + landed, 0.0
         self.elsewhere.add(now, max(0.0, others))
+        lasts, since = self.lasts, max(1, now - self.looked)
+        self.others *= math.exp(-since / lasts)
+        self.others += max(0.0, others) * lasts / since * (1 - math.exp(-since / lasts))
+        self.looked = now
         if self.store is None:
             # A first look: the count tells the use since the epoch began. One that uses all that flows in is
             # taken for drained (guards against a full burst from each limiter that comes back).
@@ -323,11 +321,11 @@
 class Hop:
     """One sending of an operation to one server."""
 
-    __slots__ = ("number", "operation", "out", "sent", "server", "time_out_us")
+    __slots__ = ("number", "operation", "out", "sent", "server")
 
     def __init__(self, operation: Operation, server: "Server", number: int, sent: int) -> None:
         self.operation, self.server, self.number, self.sent = operation, server, number, sent
-        self.time_out_us, self.out = 0, True
+        self.out = True
 
 
 class Server:
@@ -352,11 +350,9 @@
         health = (1 + good) / (1 + good + SICK * ill)
         if self.silent_from:
             quiet = (now - self.silent_from) / (QUIET * usual)
-            if quiet > 1:
-                health /= quiet**3
+            health /= max(1.0, quiet) ** 3
         return health
 
-
     def load(self, now: int, usual: float) -> float:
         """Hops out, the overdue ones counted by how long they are out: they tell of a queue before any lands
         (guards against many limiters that each see little of a server)."""
@@ -453,10 +449,8 @@
         del server.out[hop]
         self.out -= 1
         took, outcome = report.took_us, report.outcome
-        if outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
+        if outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL) or not server.out:
             server.silent_from = now if server.out else 0
-        elif not server.out:
-            server.silent_from = 0
         if outcome is Outcome.NEVER_SENT:
             return
         usual = self.expected(hop.operation)
@@ -469,7 +463,6 @@
         if outcome is Outcome.OK or took > usual:
             server.stretch.add(now, min(took / usual, 10.0))
             server.hops.add(now, 1)
-        if outcome is Outcome.OK or took > usual:
             # One bad server is its own trouble: what is thought ill beside the others says little of the
             # fleet. Beside the others, so that when all are slow together each still counts in full.
             ready = self.ready()
@@ -486,56 +479,41 @@
     """The door: takes operations, and decides on each until its one final answer."""
 
     def __init__(
-        self, clock: Clock, seed: int, post: Post, desk: Desk, categories: list[Category], plans: list[Plan],
-        duties: Duties, leave: Leave, tariff: Tariff, subscribes: bool, reports: tuple[str, ...],
+        self, clock: Clock, seed: int, post: Post, desk: Desk, categories: list[Category], duties: Duties,
+        leave: Leave,
     ) -> None:
-        self.clock, self.leave, self.subscribes = clock, leave, subscribes
+        self.clock, self.leave = clock, leave
         self.counter = Counter(desk.calls)
         self.accounts: dict[str, Account] = {}
         self.fleet = Fleet(clock, Random(seed), post, duties, categories)
         self.held = 0  # operations waiting at the door
         self.value, self.valued = Decaying(PACE_LIFE), Decaying(PACE_LIFE)
 
-    # ---- news
-
     def listed(self, entries: list[Entry], whole: bool) -> None:
         self.fleet.listed(entries, whole)
 
-    def ask_list(self) -> bool:
-        """Whether to subscribe to the list of servers."""
-        return self.subscribes
-
     def landed(self, hop: Hop, report: Report) -> None:
         self.account(hop.operation).open -= 1
         self.fleet.landed(hop, report)
 
-    def checked(self, server: str, report: Report) -> None:
-        """Load that was asked for; nothing asks yet."""
-
-    def upkeep(self) -> Generator:
-        return
-        yield
-
     def account(self, op: Operation) -> Account:
         account = self.accounts.get(op.customer)
         if account is None:
             account = self.accounts[op.customer] = Account(self.clock, self.counter, op)
         return account
 
-    # ---- one operation
-
     def operation(self, op: Operation) -> Generator:
         account = self.account(op)
         if not (yield from self.enter(op, account)):
-            if not op.over:
-                yield Answer(Verdict.TURN_BACK, self.advice(self.fleet.usual(op.category)))
-            return
+            return (yield from self.turn_back(op, self.fleet.usual(op.category)))
         wait = yield from account.admit(op)
-        if op.over:
-            return
-        if wait is not None and not self.pays_beyond(op, account):
-            yield Answer(Verdict.TURN_BACK, self.advice(wait))
-            return
+        if op.over or (wait is not None and not self.pays_beyond(op, account)):
+            return (yield from self.turn_back(op, wait))
+        # The call has just told what the others let in: under a cap on open hops, look again.
+        latest = min(self.clock.now_us + int(HOLD * op.category.quoted_us), op.ends_us - END_MARGIN)
+        if not (yield from self.hold(op, latest, lambda: self.slot(op, account))):
+            account.owed -= op.units
+            return (yield from self.turn_back(op, self.fleet.usual(op.category)))
         yield from self.serve(op, account)
 
     def enter(self, op: Operation, account: Account) -> Generator:
@@ -547,11 +525,18 @@
         worth = min(1.0, value * self.valued.read(now) / self.value.read(now))
         full = SHED_FROM + (1 - SHED_FROM) * worth
         latest = min(now + int(HOLD * op.category.quoted_us), op.ends_us - END_MARGIN)
+        return (yield from self.hold(op, latest, lambda: fleet.fullness() < full and self.slot(op, account)))
+
+    def slot(self, op: Operation, account: Account) -> bool:
+        return account.slot(self.clock.now_us, op.units, self.fleet.usual(op.category))
+
+    def hold(self, op: Operation, latest: int, ready: Callable[[], bool]) -> Generator:
+        """Wait at the door until it is ready, or too late, or too many wait already."""
         held = room = False
         while not op.over:
             now = self.clock.now_us
-            room = fleet.fullness() < full and account.slot(now, op.units, fleet.expected(op))
-            if room or now >= latest or (not held and self.held >= CROWD * fleet.bound):
+            room = ready()
+            if room or now >= latest or (not held and self.held >= CROWD * self.fleet.bound):
                 break
             self.held += not held
             held = True
@@ -569,8 +554,9 @@
         account.take(now, op.units)
         return True
 
-    def advice(self, wait: float) -> int:
-        return min(self.leave.longest_advice_us, int(wait))
+    def turn_back(self, op: Operation, wait: float | None) -> Generator:
+        if not op.over:
+            yield Answer(Verdict.TURN_BACK, min(self.leave.longest_advice_us, int(wait)))
 
     def serve(self, op: Operation, account: Account) -> Generator:
         """Hops until one finishes the operation or none may follow."""
@@ -599,12 +585,8 @@
         while True:
             now = self.clock.now_us
             out = [hop for hop in hops if hop.out]
-            more = (
-                len(hops) < self.leave.hops
-                and now < stop
-                and (not hops or now < late)
-                and (not out or self.leave.second_copies)
-            )
+            more = len(hops) < self.leave.hops and (not out or self.leave.second_copies)
+            more = more and now < (min(stop, late) if hops else stop)
             server = fleet.draw(op, [hop.server for hop in hops], allowed) if more else None
             if server is None and not out:
                 break
@@ -616,8 +598,7 @@
                 fleet.sent(hop)
                 yield Send(hop)
             patience = int(fleet.expected(op) + PATIENCE * fleet.paces[category.name].deviation(now))
-            last = len(hops) >= self.leave.hops or server is None
-            again = now + patience if not last else stop
+            again = now + patience if server is not None and len(hops) < self.leave.hops else stop
             while True:
                 word = yield Pause(min(again, stop))
                 if word is Word.GONE:
@@ -627,24 +608,21 @@
                     stop = again = self.clock.now_us + 3600 * SECOND
                     continue
                 if word is Word.TIME:
-                    if self.clock.now_us >= stop:
+                    now = self.clock.now_us
+                    if now >= stop:
                         yield Answer(Verdict.GIVE_UP)
                         yield from self.call_off(hops)
                         return
-                    if category.repeat is Repeat.UNREPEATABLE or self.clock.now_us >= late:
+                    if category.repeat is Repeat.UNREPEATABLE or now >= late or not self.leave.cancel:
                         again = stop
-                        continue
-                    if fleet.fullness() > SHED_FROM:  # a copy now would only lengthen the queues
-                        again = self.clock.now_us + patience
-                        continue
-                    if not self.leave.second_copies:
-                        if not self.leave.cancel:
-                            again = stop
-                            continue
+                    elif fleet.fullness() > SHED_FROM:  # a copy now would only lengthen the queues
+                        again = now + patience
+                    elif self.leave.second_copies:
+                        break
+                    else:
                         yield from self.call_off(hops)
                         again = stop
-                        continue
-                    break
+                    continue
                 hop, report = word
                 if report.closed:
                     yield from self.call_off(hops)
@@ -655,7 +633,7 @@
                     break
         safe = not ran or category.repeat is Repeat.IDEMPOTENT
         if safe or (category.repeat is Repeat.DEDUPLICATED and category.group is Group.ALL):
-            yield Answer(Verdict.TURN_BACK, self.advice(fleet.usual(category)))
+            yield from self.turn_back(op, fleet.usual(category))
         else:
             yield Answer(Verdict.GIVE_UP)
 
--- a/lapisgrade/drill/host.py
+++ b/lapisgrade/drill/host.py
@@ -28,6 +28,7 @@
         "_held",
         "_hops",
         "_line",
+        "_must_ask",
         "_plans",
         "_tag",
         "clock",
@@ -43,9 +44,10 @@
         self._held: dict[int, Operation] = {}  # by ticket; owed a final answer
         self._hops: dict[tuple[int, int], object] = {}
         self._calls: dict[int, list[Task]] = {}
-        categories, plans = wire.categories(fields), wire.plans(fields)
+        categories = wire.categories(fields)
         self._categories = {each.name: each for each in categories}
-        self._plans = {each.name: each for each in plans}
+        self._plans = {each.name: each for each in wire.plans(fields)}
+        self._must_ask = fields.get("RegistryMode", "automatic") == "subscribe"
         self.clock = clock
         self.engine = Engine(self, clock)
         self.module = Limiter(
@@ -54,12 +56,8 @@
             wire.post(fields),
             wire.desk(fields),
             categories,
-            plans,
             wire.duties(fields),
             wire.leave(fields),
-            wire.tariff(fields),
-            fields.get("RegistryMode", "automatic") == "subscribe",
-            tuple(fields.get("Stats.Columns", "").split(",")) if fields.get("Stats.How") == "inline" else (),
         )
 
     # ---- what the engine wants carried out
@@ -67,8 +65,7 @@
     def send(self, hop) -> None:
         ticket = hop.operation.handle
         self._hops[ticket, hop.number] = hop
-        limit = f" GiveUpAfter={ms(hop.time_out_us)}" if hop.time_out_us > 0 else ""
-        self.lines.append(f"PLACE{self._line} Ticket={ticket} Server={hop.server.address}{limit}")
+        self.lines.append(f"PLACE{self._line} Ticket={ticket} Server={hop.server.address}")
 
     def cancel(self, hop) -> None:
         ticket = hop.operation.handle
@@ -171,23 +168,13 @@
         self.engine.added(task, Total(tally, fields.number("ResultValue")))
 
     def topology(self, form: str, entries: list[Entry]) -> None:
-        if form == "unavailable":
-            if self.module.ask_list():
-                self.watch()
-            return
-        self.module.listed(entries, form != "update")
-        if form == "restored":
-            if self.module.ask_list():
-                self.watch()
-            self.engine.run(self.module.upkeep())
+        if form != "unavailable":
+            self.module.listed(entries, form != "update")
+        if self._must_ask and form in ("restored", "unavailable"):
+            self.watch()  # the wire sends changes only to those that asked, and stops after a failure
 
     def status_back(self, fields: Fields) -> None:
-        report = Report(
-            fields.among("StateCode", wire.OUTCOMES),
-            fields.micros("Duration"),
-            load=wire.load_report(fields.get("Stats")),
-        )
-        self.module.checked(fields.text("Server"), report)
+        fields.text("Server")
 
     def peer(self, fields: Fields) -> None:
         fields.whole("Neighbour")
--- a/lapisgrade/drill/wire.py
+++ b/lapisgrade/drill/wire.py
@@ -15,7 +15,6 @@
     Post,
     Repeat,
     Tally,
-    Tariff,
 )
 
 OUTCOMES = {
@@ -210,16 +209,6 @@
     )
 
 
-def tariff(info: Fields) -> Tariff:
-    return Tariff(
-        waste=info.number("Prices.Waste"),
-        late=info.number("Prices.LateFail"),
-        crossing=info.number("Prices.CrossZone"),
-        probe=info.number("Prices.Probe"),
-        count=info.number("Specifics.CounterPrice"),
-    )
-
-
 def post(info: Fields) -> Post:
     return Post(info.whole("SelfIndex", 0), max(1, info.whole("NInstances", 1)), info.get("Zone", ""))
 
--- a/lapisgrade/interface.py
+++ b/lapisgrade/interface.py
@@ -76,17 +76,6 @@
     longest_advice_us: int  # 0: clients get no retry-after
 
 
-@dataclass(slots=True)
-class Tariff:
-    """Points of the result that each thing costs."""
-
-    waste: float = 0.0
-    late: float = 0.0
-    crossing: float = 0.0
-    probe: float = 0.0
-    count: float = 0.0
-
-
 @dataclass(slots=True)
 class Post:
     """Where this limiter stands among its fellows."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -21,7 +21,6 @@
     Repeat,
     Report,
     Tally,
-    Tariff,
     Total,
     Verdict,
     Word,
@@ -116,15 +115,10 @@
             Post(index, world.limiters, "z0"),
             Desk(True, 30_000),
             CATEGORIES,
-            PLANS,
             DUTIES,
             Leave(4, True, world.second_copies, False, 500_000),
-            Tariff(),
-            False,
-            (),
         )
         self.module.listed(list(world.entries.values()), True)
-        self.engine.run(self.module.upkeep())
 
     def send(self, hop):
         op, world, name = hop.operation, self.world, hop.server.address
