--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -36,6 +36,7 @@
 QUIET = 3.0  # expected durations without any answer after which a server is thought silent
 PATIENCE = 3.0  # deviations above the mean that a hop may last before another is tried
 HOPS_FROM = 4.0  # hops out at one server, of all limiters; where the bound starts: about two a core
+HOPS_LEAST = 2.0  # hops out at one server, of all limiters, that are no queue; the bound's floor
 STEER = 0.1  # hops that the bound moves by with each hop that lands, at most: about a tenth a round trip
 GOOD_TIME = 0.25  # of the quoted time; what hops may last in the mean, work and queue together
 STEER_LIFE = 2 * SECOND  # us; how long a hop steers the bound, a few round trips
@@ -378,9 +379,7 @@
             for server in self.servers.values():
                 server.entry = None
         for entry in entries:
-            server = self.servers.get(entry.server)
-            if server is None:
-                server = self.servers[entry.server] = Server(entry.server)
+            server = self.servers.setdefault(entry.server, Server(entry.server))
             old, server.entry = server.entry, entry
             if entry.started_us and (old is None or old.started_us != entry.started_us):
                 server.work = Decaying(self.duties.fall_us)
@@ -472,7 +471,10 @@
             self.landings.add(now, blame)
             good = 1 - self.lasted.read(now) / (GOOD_TIME * (self.landings.read(now) + 0.1))
             if good < 0 or self.out + 1 >= SHED_FROM * self.bound:
-                self.bound = max(1.0, self.bound + STEER * max(-1.0, min(1.0, good)))
+                # Never under what keeps the fleet at work without a queue: when all are slow together, less
+                # out makes none of them faster (guards against turning all away while servers idle).
+                least = max(1.0, HOPS_LEAST * len(ready) / self.post.limiters)
+                self.bound = max(least, self.bound + STEER * max(-1.0, min(1.0, good)))
 
 
 class Limiter:
@@ -602,8 +604,7 @@
             while True:
                 word = yield Pause(min(again, stop))
                 if word is Word.GONE:
-                    yield from self.call_off(hops)
-                    return
+                    return (yield from self.call_off(hops))
                 if word is Word.OPENED:
                     stop = again = self.clock.now_us + 3600 * SECOND
                     continue
@@ -625,8 +626,7 @@
                     continue
                 hop, report = word
                 if report.closed:
-                    yield from self.call_off(hops)
-                    return
+                    return (yield from self.call_off(hops))
                 if report.outcome.never_ran:
                     ran.remove(hop)
                 if not any(each.out for each in hops):
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -168,3 +168,13 @@
     world.arrive(0, units=4)
     world.run(world.now + SECOND)
     assert len(world.ran) == 1
+
+
+def test_fleet_slow_together_is_not_starved():
+    """Found in an incident: when every server was slow the bound fell to one hop, and servers idled."""
+    world = World(12, limiters=2, servers=8, chances=(1, 0, 0, 0, 0, 0))
+    world.chance = lambda: (Outcome.OK, 600_000)
+    for step in range(1200):
+        world.arrive(step % 2, customer=f"c{step}")
+        world.run(world.now + 25_000)
+    assert sum(1 for sent in world.ran if sent.ended is None) >= 8
