Cut the bound on hops out as the list tells of fewer or colder servers

Told apart from slowness by the list's changes right before the fall. Also guards against a mass restart; could harm where servers go that carried nothing.

--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -206,9 +206,8 @@
     def call(self) -> Generator:
         """One call at a time; all that arrive meanwhile share it."""
         while self.queue:
-            now = self.clock.now_us
             units = self.queue[0].operation.units
-            room = self.store.read(now) if self.store is not None else 0.0
+            room = self.store.read(self.clock.now_us) if self.store is not None else 0.0
             want = min(LEASE_MOST, max(1, int(room / (2 * self.gateways * units)))) * units
             owed, self.owed = self.owed, 0.0
             answer = yield from self.add(want + owed)
@@ -248,7 +247,7 @@
             digest = blake2b(f"{self.customer} {epoch}".encode(), digest_size=8).digest()
             self.epoch, self.name = epoch, int.from_bytes(digest, "big") >> 1
             self.seen = self.own = self.unsure = 0.0
-        name = self.name
+        name, plan = self.name, self.plan
         got: Total = yield Add(name, amount, NAME_LIFE)
         now = self.clock.now_us
         self.counter.heard(now, got.tally)
@@ -256,7 +255,6 @@
             self.unsure += amount if got.tally is Tally.SILENT and name == self.name else 0.0
             return got.tally
         before = got.total - amount
-        plan = self.plan
         # A total below what we added ourselves, or far below the last one, shows a count that was emptied:
         # what we knew of the store stays, so that no second burst is granted (guards against a flush).
         emptied = before < max(self.own, self.seen - plan.burst / 2) - 1e-3
@@ -371,7 +369,7 @@
         self.servers: dict[str, Server] = {}
         self.paces = {each.name: Pace(FIRST_GUESS * each.quoted_us) for each in categories}
         self.carried = Decaying(PACE_LIFE)  # us of work that came back well
-        self.bound = self.out = 0.0  # hops out at all servers, by this limiter
+        self.bound = self.out = self.warm = 0.0  # hops out at all servers, by this limiter; warm servers
         self.lasted, self.landings = Decaying(STEER_LIFE), Decaying(STEER_LIFE)
 
     def listed(self, entries: list[Entry], whole: bool) -> None:
@@ -386,6 +384,11 @@
                 server.silent_from, server.ill.value = 0, 0.0
         if not self.bound:
             self.bound = max(1.0, HOPS_FROM * len(entries) / self.post.limiters)
+        # Fewer or colder servers carry less from now on, before any hop tells (guards the rest of the fleet
+        # when part of it goes); more of them show in time, as nobody knows yet what they carry.
+        was, self.warm = self.warm, sum(self.warmth(each, self.clock.now_us) for each in self.ready())
+        if self.warm < was:
+            self.bound = max(1.0, self.bound * self.warm / was)
 
     def ready(self) -> list[Server]:
         return [each for each in self.servers.values() if each.entry and each.entry.state is Listed.READY]
@@ -563,10 +566,8 @@
     def serve(self, op: Operation, account: Account) -> Generator:
         """Hops until one finishes the operation or none may follow."""
         category, fleet = op.category, self.fleet
-        stop = op.ends_us - END_MARGIN
-        late = op.arrived_us + category.quoted_us
-        hops: list[Hop] = []
-        ran: list[Hop] = []  # hops that may have run, or may still
+        stop, late = op.ends_us - END_MARGIN, op.arrived_us + category.quoted_us
+        hops, ran = [], []  # all hops; those that may have run, or may still
 
         def allowed(server: Server) -> bool:
             """Rule 2: where a further hop may go."""
@@ -578,10 +579,8 @@
             if self.clock.now_us + END_MARGIN >= first.sent + category.remembered_us:
                 return False
             was, entry = first.server.entry, server.entry
-            if category.group is Group.ALL:
-                return True
-            if was is None:
-                return server is first.server
+            if category.group is Group.ALL or was is None:
+                return category.group is Group.ALL or server is first.server
             return was.zone == entry.zone if category.group is Group.ZONE else was.cell == entry.cell
 
         while True:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -178,3 +178,14 @@
         world.arrive(step % 2, customer=f"c{step}")
         world.run(world.now + 25_000)
     assert sum(1 for sent in world.ran if sent.ended is None) >= 8
+
+
+def test_bound_falls_with_the_servers_that_go():
+    """Found in two incidents: half the fleet went, and what had been out on it jammed the other half."""
+    world = World(13, limiters=1, servers=6)
+    fleet = world.gates[0].module.fleet
+    before = fleet.bound
+    world.list(s0=GONE, s1=DRAINING, s2=GONE)
+    assert fleet.bound == pytest.approx(before / 2)
+    world.list(s0=READY, s1=READY, s2=READY)
+    assert fleet.bound == pytest.approx(before / 2)
