--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -312,7 +312,7 @@
         return math.sqrt(max(square - mean * mean, mean * mean / 4))
 
     def expected(self, now: int, units: float) -> float:
-        """us for an operation of so many units; half of a hop's time is taken to go with its units."""
+        # Half of a hop's time is taken to go with its units.
         typical = (self.units.read(now) + units) / (self.hops.read(now) + 1)
         return self.mean(now) * (0.5 + 0.5 * units / typical) if typical > 0 else self.mean(now)
 
@@ -498,7 +498,9 @@
         self.fleet.listed(entries, whole)
 
     def landed(self, hop: Hop, report: Report) -> None:
-        self.account(hop.operation).open -= 1
+        account = self.account(hop.operation)
+        account.open -= 1
+        account.owed += report.units - hop.operation.units if report.units else 0.0  # settled afterwards
         self.fleet.landed(hop, report)
 
     def account(self, op: Operation) -> Account:
@@ -539,8 +541,7 @@
         """Wait at the door until it is ready, or too late, or too many wait already."""
         held = room = False
         while not op.over:
-            now = self.clock.now_us
-            room = ready()
+            now, room = self.clock.now_us, ready()
             if room or now >= latest or (not held and self.held >= CROWD * self.fleet.bound):
                 break
             self.held += not held
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -3,7 +3,7 @@
 import pytest
 from helpers import CATEGORIES, PLANS, SECOND, World
 
-from lapisgrade.interface import Listed, Outcome, Verdict
+from lapisgrade.interface import Listed, Outcome, Report, Verdict
 
 READY, DRAINING, GONE = Listed.READY, Listed.DRAINING, Listed.GONE
 
@@ -189,3 +189,20 @@
     assert fleet.bound == pytest.approx(before / 2)
     world.list(s0=READY, s1=READY, s2=READY)
     assert fleet.bound == pytest.approx(before / 2)
+
+
+def test_units_settled_afterwards_are_put_right():
+    world = World(14, limiters=1)
+    gate, store = world.gates[0], PLANS[0]
+    world.chance = lambda: (Outcome.OK, 5_000)
+    for _ in range(2):
+        op = world.arrive(0)
+        world.run(world.now + 4_000)
+        for sent in gate.hops[id(op)]:
+            sent.ended = Outcome.OK
+            gate.module.landed(sent.hop, Report(Outcome.OK, 4_000, True, units=4.0))
+            del gate.owed[id(op)]
+        world.run(world.now + 10_000)
+    lease = 3  # a half of the seven units that were left after the first
+    left = gate.module.accounts["c0"].store.level
+    assert left == pytest.approx(store.burst - 4 - lease, abs=0.1)
