A decaying count in place of an even one, so that any one look tells recent use

Cause: at size a limiter looks at a customer's count seldom, and a total since the epoch began does not tell when it was used. What is added now grows with the epoch's age, so that the total, scaled back, is what was taken of late. A count that is emptied, or gets a new name, is put right by each limiter's own part with its next call; that takes the place of the guards on the epoch's first look and on emptied counts. What a silent call added is taken back at once if the slice refuses.

Could do harm where limiters' clocks differ by much of the time a store takes to fill.

--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -44,7 +44,6 @@
 SHED_FROM = 0.7  # of all room taken; the cheapest operations are turned back from here on
 COLD_SHARE = 0.4  # of what a cold server may be sent; the rest is for chance and for what we don't know
 END_MARGIN = 6_000  # us before the hard stop; a few rounds of the host's clock
-EARLY = 0.5  # how early the others' takes are thought to be; a refusal and an excess cost about the same
 ELSEWHERE_LIFE = 2 * SECOND  # us; how long the others' use is remembered, short of traffic's moves
 OPEN_DOUBT = 0.8  # hops under a cap; the others' are known in the mean only, and a wait costs little
 CROWD = 0.5  # of the bound on hops out; with so many held, more would wait in vain and are told at once
@@ -113,10 +112,10 @@
 class Waiting:
     """An operation that waits for its account's call; `let_in` is the call's word, None for silence."""
 
-    __slots__ = ("done", "let_in", "operation")
+    __slots__ = ("counted", "done", "let_in", "operation")
 
     def __init__(self, operation: Operation) -> None:
-        self.operation, self.done, self.let_in = operation, False, None
+        self.operation, self.done, self.let_in, self.counted = operation, False, None, False
 
 
 class Account:
@@ -126,10 +125,13 @@
         now, plan, self.gateways = clock.now_us, first.plan, first.gateways
         self.clock, self.counter, self.plan, self.customer = clock, counter, plan, first.customer
         self.store: Bucket | None = None  # the quota's store, as the counter's totals tell it
+        # What is taken counts 1/e after the time the store takes to fill. On the counter it does so too: what
+        # is added grows by as much an epoch long, so that any one look tells what is recent.
+        self.life = max(SECOND, int(plan.burst / plan.rate * SECOND)) if plan.rate > 0 else SECOND
         self.name, self.epoch = 0, -1
-        self.seen = self.own = 0.0  # the total last read, and our own part of it
-        self.unsure = 0.0  # added by calls that got no answer
-        self.lease, self.lease_ends, self.owed = 0.0, 0, 0.0
+        self.count, self.own = Decaying(self.life), Decaying(self.life)  # as last read; our part of it
+        self.owed = Decaying(self.life)  # to be added with the next call
+        self.lease, self.lease_ends = 0.0, 0
         share = SLICE / self.gateways
         self.slice = Bucket(now, plan.rate * share, plan.burst * share, plan.burst * share)
         # The ceiling is split evenly and a share starts empty: the shares then never hold more than the
@@ -159,7 +161,8 @@
         if self.plan.rate <= 0:
             return self.take(now, units)
         if self.lease_ends <= now and self.lease:
-            self.owed, self.lease = self.owed - self.lease, 0.0  # the next call gives the leftover back
+            self.owed.add(now, -self.lease)  # the next call gives the leftover back
+            self.lease = 0.0
         if self.lease >= units:
             self.lease -= units
             return self.take(now, units)
@@ -179,11 +182,13 @@
                 return 0  # the client has left, or is about to
         now = self.clock.now_us
         if waiting.let_in is None:
-            return self.alone(now, units)
+            # A silent call was mostly counted all the same: it is what the slice lets in, or is taken back
+            # (guards a crowded counter against counting what was never sent, or twice).
+            return self.alone(now, units, waiting.counted)
         if not waiting.let_in:
             return self.store.wait(now, units)
         if self.ceiling is not None and self.ceiling.read(now) < units:
-            self.owed -= units
+            self.owed.add(now, -units)
             return self.ceiling.wait(now, units)
         return self.take(now, units)
 
@@ -193,15 +198,15 @@
         if self.ceiling is not None:
             self.ceiling.put(now, self.ceiling.read(now) - units)
 
-    def alone(self, now: int, units: float) -> int | None:
+    def alone(self, now: int, units: float, counted: bool = False) -> int | None:
         """No word from the counter: the local slice decides, and the count is told later."""
         # A full slice lets in any one operation, and owes the rest: with many gateways it holds less than one
         # (guards calm customers of many limiters).
         needs = min(units, self.slice.burst)
-        if self.slice.read(now) < needs:
-            return self.slice.wait(now, needs)
-        self.owed += units if self.counter.there else 0.0
-        return self.take(now, units, alone=True)
+        let_in = self.slice.read(now) >= needs
+        if let_in != counted and self.counter.there:
+            self.owed.add(now, units if let_in else -units)
+        return self.take(now, units, alone=True) if let_in else self.slice.wait(now, needs)
 
     def call(self) -> Generator:
         """One call at a time; all that arrive meanwhile share it."""
@@ -209,11 +214,12 @@
             units = self.queue[0].operation.units
             room = self.store.read(self.clock.now_us) if self.store is not None else 0.0
             want = min(LEASE_MOST, max(1, int(room / (2 * self.gateways * units)))) * units
-            owed, self.owed = self.owed, 0.0
-            answer = yield from self.add(want + owed)
+            answer = yield from self.add(want)
             now = self.clock.now_us
             if answer is not Tally.ADDED:
-                self.owed += owed
+                if answer is Tally.SILENT and self.queue:
+                    self.queue[0].counted = True
+                    self.owed.add(now, units - want)
                 for waiting in self.queue:
                     waiting.done = True
                     yield Wake(waiting.operation)
@@ -227,67 +233,62 @@
                 waiting.done = waiting.let_in = True
                 yield Wake(waiting.operation)
             if short:
-                self.owed -= granted
                 self.store.level += short
                 while self.queue and self.queue[0].operation.units > self.store.read(now):
                     waiting = self.queue.pop(0)
                     waiting.done, waiting.let_in = True, False
                     yield Wake(waiting.operation)
-                back, self.owed = short - self.owed, 0.0
                 self.store.level -= short
-                yield from self.add(-back)
+                yield from self.add(-short - granted)
             elif granted:
                 self.lease, self.lease_ends = self.lease + granted, now + LEASE_LIFE
         self.calling = False
 
-    def add(self, amount: float) -> Generator:
-        """Add to the count and bring the store up to date from the total."""
-        epoch = self.clock.now_us // EPOCH
-        if epoch != self.epoch:
-            digest = blake2b(f"{self.customer} {epoch}".encode(), digest_size=8).digest()
-            self.epoch, self.name = epoch, int.from_bytes(digest, "big") >> 1
-            self.seen = self.own = self.unsure = 0.0
-        name, plan = self.name, self.plan
-        got: Total = yield Add(name, amount, NAME_LIFE)
+    def add(self, units: float) -> Generator:
+        """Add to the count, with what is owed, and bring the store up to date from the total."""
         now = self.clock.now_us
+        if now // EPOCH != self.epoch:
+            self.epoch = now // EPOCH
+            digest = blake2b(f"{self.customer} {self.epoch}".encode(), digest_size=8).digest()
+            self.name = int.from_bytes(digest, "big") >> 1
+            self.disown(now)
+        amount, self.owed.value = units + self.owed.read(now), 0.0
+        started = self.epoch * EPOCH
+        got: Total = yield Add(self.name, amount * math.exp((now - started) / self.life), NAME_LIFE)
+        now, sent = self.clock.now_us, now
         self.counter.heard(now, got.tally)
-        if got.tally is not Tally.ADDED or name != self.name:
-            self.unsure += amount if got.tally is Tally.SILENT and name == self.name else 0.0
+        if got.tally is not Tally.ADDED:
+            self.owed.add(now, amount - units if got.tally is Tally.TURNED_AWAY else 0.0)
             return got.tally
-        before = got.total - amount
-        # A total below what we added ourselves, or far below the last one, shows a count that was emptied:
-        # what we knew of the store stays, so that no second burst is granted (guards against a flush).
-        emptied = before < max(self.own, self.seen - plan.burst / 2) - 1e-3
-        others = before if emptied else before - self.seen
-        self.own = 0.0 if emptied else self.own
-        # What the total grew by may be our own calls that got no answer: they were counted after all, bought
-        # nothing, and are taken back (guards a crowded counter against counting what was never sent).
-        landed = max(0.0, min(others, self.unsure))
-        others, self.owed, self.own, self.unsure = others - landed, self.owed - landed, self.own + landed, 0.0
-        self.elsewhere.add(now, max(0.0, others))
-        lasts, since = self.lasts, max(1, now - self.looked)
-        self.others *= math.exp(-since / lasts)
-        self.others += max(0.0, others) * lasts / since * (1 - math.exp(-since / lasts))
+        amount *= math.exp((sent - now) / self.life)
+        before = got.total * math.exp((started - now) / self.life) - amount
+        if before < 0.99 * self.own.read(now) - 0.1:
+            self.disown(now)  # the count was emptied
+        known = self.count.read(now)
+        others = max(0.0, before - known)
+        # A count that was emptied or has a new name tells less than what we know: then that holds (guards
+        # against a second burst after a flush).
+        before = max(before, known)
+        self.elsewhere.add(now, others)
+        lasts, since = self.lasts, max(1, min(self.life, now - self.looked))
+        self.others *= math.exp((self.looked - now) / lasts)
+        self.others += others * lasts / since * (1 - math.exp(-since / lasts))
         self.looked = now
         if self.store is None:
-            # A first look: the count tells the use since the epoch began. One that uses all that flows in is
-            # taken for drained (guards against a full burst from each limiter that comes back).
-            filled = (now % EPOCH) / SECOND * plan.rate
-            level = min(plan.burst, plan.burst + filled - before)
-            if filled > plan.burst:
-                level = min(level, 2 * plan.burst * max(0.0, 1 - before / filled))
-            self.store = Bucket(now, plan.rate, plan.burst, level)
-        else:
-            # The others' takes since our last look came early (the refill made them good) or just now (it was
-            # capped before): no one knows, so the store is thought halfway between (guards calm customers
-            # that come in by several limiters against refusals, and the quota against their bursts).
-            filled = self.store.level + plan.rate * (now - self.store.at) / SECOND
-            late, early = min(plan.burst, filled) - others, min(plan.burst, filled - others)
-            self.store.put(now, late + EARLY * (early - late))
-        self.store.level -= amount
-        self.seen, self.own = got.total, self.own + amount
+            self.store = Bucket(now, self.plan.rate, self.plan.burst, self.plan.burst)
+        # Since our last look the store filled and the others took; or the count is all we know, and the store
+        # surely holds what it leaves of the burst.
+        self.store.put(now, max(self.store.read(now) - others, self.plan.burst - before) - amount)
+        self.count.value = before + amount
+        self.own.add(now, amount)
         return got.tally
 
+    def disown(self, now: int) -> None:
+        """Our part is no longer in the count: each limiter puts its own back with its next call (guards
+        against a flush, and carries the count over to the next name)."""
+        self.owed.add(now, self.own.read(now))
+        self.own.value = 0.0
+
 
 class Pace:
     """What hops of one category took of late."""
@@ -500,7 +501,8 @@
     def landed(self, hop: Hop, report: Report) -> None:
         account = self.account(hop.operation)
         account.open -= 1
-        account.owed += report.units - hop.operation.units if report.units else 0.0  # settled afterwards
+        if report.units:  # settled afterwards
+            account.owed.add(self.clock.now_us, report.units - hop.operation.units)
         self.fleet.landed(hop, report)
 
     def account(self, op: Operation) -> Account:
@@ -519,7 +521,7 @@
         # The call has just told what the others let in: under a cap on open hops, look again.
         latest = min(self.clock.now_us + int(HOLD * op.category.quoted_us), op.ends_us - END_MARGIN)
         if not (yield from self.hold(op, latest, lambda: self.slot(op, account))):
-            account.owed -= op.units
+            account.owed.add(self.clock.now_us, -op.units)
             return (yield from self.turn_back(op, self.fleet.usual(op.category)))
         yield from self.serve(op, account)
 
