Let few hops tell more of a server: longer memory where limiters are many, squared

A server's hops are now remembered up to five times longer, by the number of limiters, the prior is one hop, and the odds go by the square.

Should also help where servers differ more than their listed size tells; could do harm where one long hop says little, as work has a long tail.

--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -30,8 +30,11 @@
 
 PACE_LIFE = 8 * SECOND  # us; how long what a hop took is remembered, some dozens of hops a server
 HEALTH_LIFE = 4 * SECOND  # us; how long an ill hop is held against its server
+PACE_STRETCH = 5.0  # times longer for one server's hops, at most, as one of many limiters sends it few
+LIMITERS_FEW = 6.0  # limiters; with no more of them each sees enough of a server in that time
 PRIOR = 4  # hops; weight of what is assumed before anything is seen
 FIRST_GUESS = 0.12  # of the quoted time that a hop is taken to last before any was seen
+SOUND = 1.0  # hops; weight of the thought that a server is as fast as the rest
 SICK = 3.0  # good hops that outweigh one ill one
 QUIET = 3.0  # expected durations without any answer after which a server is thought silent
 PATIENCE = 3.0  # deviations above the mean that a hop may last before another is tried
@@ -331,19 +334,22 @@
 class Server:
     """One server as this limiter sees it."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, limiters: int) -> None:
         self.address = address
         self.entry: Entry | None = None
         self.out: dict[Hop, None] = {}
         self.silent_from = 0  # since when hops are out and none has come back; 0: not so
-        self.stretch, self.hops = Decaying(PACE_LIFE), Decaying(PACE_LIFE)
+        # One of many limiters sends a server a hop now and then: its word counts longer (guards against slow
+        # servers that no limiter sees enough of).
+        life = int(PACE_LIFE * max(1.0, min(PACE_STRETCH, limiters / LIMITERS_FEW)))
+        self.stretch, self.hops = Decaying(life), Decaying(life)
         self.good, self.ill = Decaying(HEALTH_LIFE), Decaying(HEALTH_LIFE)
         self.work: Decaying | None = None  # sent of late, while cold
         self.last_sent = 0
 
     def speed(self, now: int) -> float:
         """How fast beside the fleet; hops too slow to have come back are not in it."""
-        return (self.hops.read(now) + PRIOR) / (self.stretch.read(now) + PRIOR)
+        return ((self.hops.read(now) + SOUND) / (self.stretch.read(now) + SOUND)) ** 2
 
     def health(self, now: int, usual: float) -> float:
         good, ill = self.good.read(now), self.ill.read(now)
@@ -378,7 +384,7 @@
             for server in self.servers.values():
                 server.entry = None
         for entry in entries:
-            server = self.servers.setdefault(entry.server, Server(entry.server))
+            server = self.servers.setdefault(entry.server, Server(entry.server, self.post.limiters))
             old, server.entry = server.entry, entry
             if entry.started_us and (old is None or old.started_us != entry.started_us):
                 server.work = Decaying(self.duties.fall_us)
