Fill ceiling shares from the limiter's start, not from a customer's first operation

Cause: a share started empty when its customer was first seen, so each of many limiters turned back the first operations under a ceiling.

--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -124,7 +124,7 @@
 class Account:
     """One customer: what is known of its count, the lease, the local slice, ceiling share, open hops."""
 
-    def __init__(self, clock: Clock, counter: Counter, first: Operation) -> None:
+    def __init__(self, clock: Clock, counter: Counter, first: Operation, started: int) -> None:
         now, plan, self.gateways = clock.now_us, first.plan, first.gateways
         self.clock, self.counter, self.plan, self.customer = clock, counter, plan, first.customer
         self.store: Bucket | None = None  # the quota's store, as the counter's totals tell it
@@ -137,10 +137,10 @@
         self.lease, self.lease_ends = 0.0, 0
         share = SLICE / self.gateways
         self.slice = Bucket(now, plan.rate * share, plan.burst * share, plan.burst * share)
-        # The ceiling is split evenly and a share starts empty: the shares then never hold more than the
-        # one store does, whatever an earlier life of this limiter spent (guards rule 5 at restarts).
+        # The ceiling is split evenly, and a share is empty when this limiter starts: the shares then never
+        # hold more than the one store does, whatever an earlier life spent (guards rule 5 at restarts).
         rate, burst = plan.ceiling_rate / self.gateways, plan.ceiling_burst / self.gateways
-        self.ceiling = Bucket(now, rate, burst, 0.0) if rate > 0 else None
+        self.ceiling = Bucket(started, rate, burst, 0.0) if rate > 0 else None
         self.open = 0
         self.elsewhere = Decaying(ELSEWHERE_LIFE)  # units that the other limiters let in of late
         self.others, self.looked, self.lasts = 0.0, now, 1.0  # and those likely still out at the last look
@@ -494,7 +494,7 @@
         self, clock: Clock, seed: int, post: Post, desk: Desk, categories: list[Category], duties: Duties,
         leave: Leave,
     ) -> None:
-        self.clock, self.leave = clock, leave
+        self.clock, self.leave, self.started = clock, leave, clock.now_us
         self.counter = Counter(desk.calls)
         self.accounts: dict[str, Account] = {}
         self.fleet = Fleet(clock, Random(seed), post, duties, categories)
@@ -514,7 +514,7 @@
     def account(self, op: Operation) -> Account:
         account = self.accounts.get(op.customer)
         if account is None:
-            account = self.accounts[op.customer] = Account(self.clock, self.counter, op)
+            account = self.accounts[op.customer] = Account(self.clock, self.counter, op, self.started)
         return account
 
     def operation(self, op: Operation) -> Generator:
