Let each limiter of many send to a part of the fleet, shared out evenly

Besides, a limiter that sends to all servers sees each once in ten seconds and knows none.

Servers are shuffled by a hash for each round of limiters, and a round shares them out; no agreement is needed but the list and the limiters' numbers. Fleets of under 20 servers are not divided. Also guards slow and sick servers that no limiter sees enough of; could do harm where a whole part falls ill at once while listed, or limiters' lists differ for long.

--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -38,6 +38,7 @@
 SICK = 3.0  # good hops that outweigh one ill one
 QUIET = 3.0  # expected durations without any answer after which a server is thought silent
 PATIENCE = 3.0  # deviations above the mean that a hop may last before another is tried
+PART = 10  # servers that one limiter of many sends to; few enough to know each, enough to lose some
 HOPS_FROM = 4.0  # hops out at one server, of all limiters; where the bound starts: about two a core
 HOPS_LEAST = 2.0  # hops out at one server, of all limiters, that are no queue; the bound's floor
 STEER = 0.1  # hops that the bound moves by with each hop that lands, at most: about a tenth a round trip
@@ -347,6 +348,13 @@
         self.work: Decaying | None = None  # sent of late, while cold
         self.last_sent = 0
 
+    def ready(self) -> bool:
+        return self.entry is not None and self.entry.state is Listed.READY
+
+    def rank(self, turn: int) -> bytes:
+        """Its place in a shuffle that all limiters of a turn agree on."""
+        return blake2b(f"{self.address} {turn}".encode(), digest_size=8).digest()
+
     def speed(self, now: int) -> float:
         """How fast beside the fleet; hops too slow to have come back are not in it."""
         return ((self.hops.read(now) + SOUND) / (self.stretch.read(now) + SOUND)) ** 2
@@ -376,6 +384,7 @@
         self.servers: dict[str, Server] = {}
         self.paces = {each.name: Pace(FIRST_GUESS * each.quoted_us) for each in categories}
         self.carried = Decaying(PACE_LIFE)  # us of work that came back well
+        self.part: list[Server] = []  # those that this limiter sends to
         self.bound = self.out = self.warm = 0.0  # hops out at all servers, by this limiter; warm servers
         self.lasted, self.landings = Decaying(STEER_LIFE), Decaying(STEER_LIFE)
 
@@ -389,6 +398,7 @@
             if entry.started_us and (old is None or old.started_us != entry.started_us):
                 server.work = Decaying(self.duties.fall_us)
                 server.silent_from, server.ill.value = 0, 0.0
+        self.divide()
         if not self.bound:
             self.bound = max(1.0, HOPS_FROM * len(entries) / self.post.limiters)
         # Fewer or colder servers carry less from now on, before any hop tells (guards the rest of the fleet
@@ -398,7 +408,18 @@
             self.bound = max(1.0, self.bound * self.warm / was)
 
     def ready(self) -> list[Server]:
-        return [each for each in self.servers.values() if each.entry and each.entry.state is Listed.READY]
+        return [each for each in self.servers.values() if each.ready()]
+
+    def divide(self) -> None:
+        """Choose this limiter's part of a large fleet, by its number: the parts of a round of limiters share
+        the fleet out evenly, and each round shuffles anew. One that sends to all would know none of them, and
+        all together would hold more connections than servers accept (guards against both)."""
+        rounds = max(1, len(self.servers) // PART)
+        turn, place = divmod(self.post.index, rounds)
+        order = sorted(self.servers.values(), key=lambda each: each.rank(turn))
+        start = place * len(order) // rounds
+        ready = [each for each in order[start:] + order[:start] if each.ready()]
+        self.part = ready[: -(-len(order) // rounds)]
 
     def usual(self, category: Category) -> float:
         """us that a hop of this category lasts, on the whole."""
@@ -423,7 +444,7 @@
         # is all cold, gets going; so seldom that all limiters together send one in the span of the rule.
         if now - server.last_sent >= self.post.limiters * self.duties.fall_us:
             return True
-        rate = self.carried.read(now) / PACE_LIFE / max(1, len(self.ready()))
+        rate = self.carried.read(now) / PACE_LIFE / max(1, len(self.part))
         budget = COLD_SHARE * self.duties.fall_multiple * warmth * rate * self.duties.fall_us
         return server.work.read(now) + work <= budget
 
@@ -434,7 +455,7 @@
         """Draw one at random, odds in step with the room that each is thought to have."""
         now, usual, work = self.clock.now_us, self.usual(op.category), self.expected(op)
         choices, odds = [], []
-        for server in self.ready():
+        for server in self.part:
             if not allowed(server) or not self.cold_room(server, now, work):
                 continue
             room = server.entry.size * self.warmth(server, now) * server.standing(now, usual)
@@ -474,8 +495,7 @@
             server.hops.add(now, 1)
             # One bad server is its own trouble: what is thought ill beside the others says little of the
             # fleet. Beside the others, so that when all are slow together each still counts in full.
-            ready = self.ready()
-            mean = sum(each.standing(now, usual) for each in ready) / max(1, len(ready))
+            mean = sum(each.standing(now, usual) for each in self.part) / max(1, len(self.part))
             blame = min(1.0, server.standing(now, usual) / mean) if mean else 1.0
             self.lasted.add(now, blame * min(took / category.quoted_us, 2.0))
             self.landings.add(now, blame)
@@ -483,7 +503,7 @@
             if good < 0 or self.out + 1 >= SHED_FROM * self.bound:
                 # Never under what keeps the fleet at work without a queue: when all are slow together, less
                 # out makes none of them faster (guards against turning all away while servers idle).
-                least = max(1.0, HOPS_LEAST * len(ready) / self.post.limiters)
+                least = max(1.0, HOPS_LEAST * len(self.ready()) / self.post.limiters)
                 self.bound = max(least, self.bound + STEER * max(-1.0, min(1.0, good)))
 
 
