Parts of six servers, and only where each part has six limiters or more

Fewer connections and better known servers still. Deployments of a few limiters are not divided, as each sees enough of every server there.

--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -38,7 +38,7 @@
 SICK = 3.0  # good hops that outweigh one ill one
 QUIET = 3.0  # expected durations without any answer after which a server is thought silent
 PATIENCE = 3.0  # deviations above the mean that a hop may last before another is tried
-PART = 10  # servers that one limiter of many sends to; few enough to know each, enough to lose some
+PART = 6  # servers that one limiter of many sends to; few enough to know each, enough to lose some
 HOPS_FROM = 4.0  # hops out at one server, of all limiters; where the bound starts: about two a core
 HOPS_LEAST = 2.0  # hops out at one server, of all limiters, that are no queue; the bound's floor
 STEER = 0.1  # hops that the bound moves by with each hop that lands, at most: about a tenth a round trip
@@ -414,7 +414,7 @@
         """Choose this limiter's part of a large fleet, by its number: the parts of a round of limiters share
         the fleet out evenly, and each round shuffles anew. One that sends to all would know none of them, and
         all together would hold more connections than servers accept (guards against both)."""
-        rounds = max(1, len(self.servers) // PART)
+        rounds = max(1, min(len(self.servers) // PART, int(self.post.limiters / LIMITERS_FEW)))
         turn, place = divmod(self.post.index, rounds)
         order = sorted(self.servers.values(), key=lambda each: each.rank(turn))
         start = place * len(order) // rounds
