--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -48,7 +48,6 @@
 SHED_FROM = 0.7  # of all room taken; the cheapest operations are turned back from here on
 COLD_SHARE = 0.4  # of what a cold server may be sent; the rest is for chance and for what we don't know
 END_MARGIN = 6_000  # us before the hard stop; a few rounds of the host's clock
-ELSEWHERE_LIFE = 2 * SECOND  # us; how long the others' use is remembered, short of traffic's moves
 OPEN_DOUBT = 0.8  # hops under a cap; the others' are known in the mean only, and a wait costs little
 CROWD = 0.5  # of the bound on hops out; with so many held, more would wait in vain and are told at once
 POLL = 10_000  # us between looks for room, while held at the door
@@ -143,18 +142,13 @@
         rate, burst = plan.ceiling_rate / self.gateways, plan.ceiling_burst / self.gateways
         self.ceiling = Bucket(started, rate, burst, 0.0) if rate > 0 else None
         self.open = 0
-        self.elsewhere = Decaying(ELSEWHERE_LIFE)  # units that the other limiters let in of late
-        self.others, self.looked, self.lasts = 0.0, now, 1.0  # and those likely still out at the last look
         self.queue: list[Waiting] = []
         self.calling = False
 
     def slot(self, now: int, units: float, lasts: float) -> bool:
-        """Whether the cap on open hops leaves a slot, beside what the other limiters likely have out: what
-        they were last seen to take, as far as it is not over, and since then their usual use."""
-        self.lasts = lasts
-        unseen = math.exp((self.looked - now) / lasts)
-        usual = self.elsewhere.read(now) / ELSEWHERE_LIFE * lasts
-        others = (self.others * unseen + usual * (1 - unseen)) / units
+        """Whether the cap on open hops leaves a slot, beside what the other limiters likely have out: their
+        use of late, as the count tells it, for as long as a hop lasts."""
+        others = max(0.0, self.count.read(now) - self.own.read(now)) * lasts / self.life / units
         return not self.plan.open_cap or self.open + others < self.plan.open_cap - OPEN_DOUBT
 
     def admit(self, op: Operation) -> Generator:
@@ -273,11 +267,6 @@
         # A count that was emptied or has a new name tells less than what we know: then that holds (guards
         # against a second burst after a flush).
         before = max(before, known)
-        self.elsewhere.add(now, others)
-        lasts, since = self.lasts, max(1, min(self.life, now - self.looked))
-        self.others *= math.exp((self.looked - now) / lasts)
-        self.others += others * lasts / since * (1 - math.exp(-since / lasts))
-        self.looked = now
         if self.store is None:
             self.store = Bucket(now, self.plan.rate, self.plan.burst, self.plan.burst)
         # Since our last look the store filled and the others took; or the count is all we know, and the store
