One memory of hops for all deployments, 12 s

In place of 8 s drawn out to 40 where limiters are many: since each knows its part of the fleet, that is no longer needed.

--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -28,10 +28,9 @@
 KNOCK_EVERY = SECOND  # us between calls while the breaker is open; the design's
 SLICE = 1.5  # even slices of a quota let in while the counter is silent; the design's two overshoots
 
-PACE_LIFE = 8 * SECOND  # us; how long what a hop took is remembered, some dozens of hops a server
+PACE_LIFE = 12 * SECOND  # us; how long what a hop took is remembered, some dozens of hops a server
 HEALTH_LIFE = 4 * SECOND  # us; how long an ill hop is held against its server
-PACE_STRETCH = 5.0  # times longer for one server's hops, at most, as one of many limiters sends it few
-LIMITERS_FEW = 6.0  # limiters; with no more of them each sees enough of a server in that time
+LIMITERS_FEW = 6.0  # limiters a part has at least; with no more of them each sees enough of every server
 PRIOR = 4  # hops; weight of what is assumed before anything is seen
 FIRST_GUESS = 0.12  # of the quoted time that a hop is taken to last before any was seen
 SOUND = 1.0  # hops; weight of the thought that a server is as fast as the rest
@@ -324,15 +323,12 @@
 class Server:
     """One server as this limiter sees it."""
 
-    def __init__(self, address: str, limiters: int) -> None:
+    def __init__(self, address: str) -> None:
         self.address = address
         self.entry: Entry | None = None
         self.out: dict[Hop, None] = {}
         self.silent_from = 0  # since when hops are out and none has come back; 0: not so
-        # One of many limiters sends a server a hop now and then: its word counts longer (guards against slow
-        # servers that no limiter sees enough of).
-        life = int(PACE_LIFE * max(1.0, min(PACE_STRETCH, limiters / LIMITERS_FEW)))
-        self.stretch, self.hops = Decaying(life), Decaying(life)
+        self.stretch, self.hops = Decaying(PACE_LIFE), Decaying(PACE_LIFE)
         self.good, self.ill = Decaying(HEALTH_LIFE), Decaying(HEALTH_LIFE)
         self.work: Decaying | None = None  # sent of late, while cold
         self.last_sent = 0
@@ -382,7 +378,7 @@
             for server in self.servers.values():
                 server.entry = None
         for entry in entries:
-            server = self.servers.setdefault(entry.server, Server(entry.server, self.post.limiters))
+            server = self.servers.setdefault(entry.server, Server(entry.server))
             old, server.entry = server.entry, entry
             if entry.started_us and (old is None or old.started_us != entry.started_us):
                 server.work = Decaying(self.duties.fall_us)
