--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -38,7 +38,7 @@
 QUIET = 3.0  # expected durations without any answer after which a server is thought silent
 PATIENCE = 3.0  # deviations above the mean that a hop may last before another is tried
 PART = 6  # servers that one limiter of many sends to; few enough to know each, enough to lose some
-HOPS_FROM = 2.0  # hops out at one server, of all limiters; where the bound starts: about two a core
+HOPS_FROM = 2.0  # hops out at one server, of all limiters; where the bound starts: about one a core
 HOPS_LEAST = 2.0  # hops out at one server, of all limiters, that are no queue; the bound's floor
 STEER = 0.1  # hops that the bound moves by with each hop that lands, at most: about a tenth a round trip
 GOOD_TIME = 0.25  # of the quoted time; what hops may last in the mean, work and queue together
@@ -126,7 +126,7 @@
     def __init__(self, clock: Clock, counter: Counter, first: Operation, started: int) -> None:
         now, plan, self.gateways = clock.now_us, first.plan, first.gateways
         self.clock, self.counter, self.plan, self.customer = clock, counter, plan, first.customer
-        self.store: Bucket | None = None  # the quota's store, as the counter's totals tell it
+        self.store = Bucket(now, plan.rate, plan.burst, plan.burst)  # the quota's, as the totals tell it
         # What is taken counts 1/e after the time the store takes to fill. On the counter it does so too: what
         # is added grows by as much an epoch long, so that any one look tells what is recent.
         self.life = max(SECOND, int(plan.burst / plan.rate * SECOND)) if plan.rate > 0 else SECOND
@@ -163,7 +163,7 @@
         if self.lease >= units:
             self.lease -= units
             return self.take(now, units)
-        if self.store is not None and self.store.read(now) < units:
+        if self.store.read(now) < units:
             return self.store.wait(now, units)  # a cached refusal, until the refill that was computed
         if not self.calling and not self.counter.asks(now):
             return self.alone(now, units)
@@ -197,8 +197,7 @@
 
     def alone(self, now: int, units: float, counted: bool = False) -> int | None:
         """No word from the counter: the local slice decides, and the count is told later."""
-        # A full slice lets in any one operation, and owes the rest: with many gateways it holds less than one
-        # (guards calm customers of many limiters).
+        # A full slice lets in any one, and owes the rest (guards calm customers of very many limiters).
         needs = min(units, self.slice.burst)
         let_in = self.slice.read(now) >= needs
         if let_in != counted and self.counter.there:
@@ -209,15 +208,15 @@
         """One call at a time; all that arrive meanwhile share it."""
         while self.queue:
             units = self.queue[0].operation.units
-            room = self.store.read(self.clock.now_us) if self.store is not None else 0.0
+            room = self.store.read(self.clock.now_us) if self.epoch >= 0 else 0.0
             want = min(LEASE_MOST, max(1, int(room / (2 * self.gateways * units)))) * units
             answer = yield from self.add(want)
             now = self.clock.now_us
             if answer is not Tally.ADDED:
-                if answer is Tally.SILENT and self.queue:
-                    self.queue[0].counted = True
+                if answer is Tally.SILENT:
                     self.owed.add(now, units - want)
                 for waiting in self.queue:
+                    waiting.counted = answer is Tally.SILENT and waiting is self.queue[0]
                     waiting.done = True
                     yield Wake(waiting.operation)
                 self.queue.clear()
@@ -251,8 +250,9 @@
             self.disown(now)
         amount, self.owed.value = units + self.owed.read(now), 0.0
         started = self.epoch * EPOCH
-        got: Total = yield Add(self.name, amount * math.exp((now - started) / self.life), NAME_LIFE)
-        now, sent = self.clock.now_us, now
+        sent = now
+        got: Total = yield Add(self.name, amount * math.exp((sent - started) / self.life), NAME_LIFE)
+        now = self.clock.now_us
         self.counter.heard(now, got.tally)
         if got.tally is not Tally.ADDED:
             self.owed.add(now, amount - units if got.tally is Tally.TURNED_AWAY else 0.0)
@@ -261,23 +261,19 @@
         before = got.total * math.exp((started - now) / self.life) - amount
         if before < 0.99 * self.own.read(now) - 0.1:
             self.disown(now)  # the count was emptied
-        known = self.count.read(now)
-        others = max(0.0, before - known)
         # A count that was emptied or has a new name tells less than what we know: then that holds (guards
         # against a second burst after a flush).
+        known = self.count.read(now)
         before = max(before, known)
-        if self.store is None:
-            self.store = Bucket(now, self.plan.rate, self.plan.burst, self.plan.burst)
-        # Since our last look the store filled and the others took; or the count is all we know, and the store
-        # surely holds what it leaves of the burst.
-        self.store.put(now, max(self.store.read(now) - others, self.plan.burst - before) - amount)
+        # Since our last look the store filled, the others took; it surely holds what the count leaves.
+        level = max(self.store.read(now) - (before - known), self.plan.burst - before)
+        self.store.put(now, level - amount)
         self.count.value = before + amount
         self.own.add(now, amount)
         return got.tally
 
     def disown(self, now: int) -> None:
-        """Our part is no longer in the count: each limiter puts its own back with its next call (guards
-        against a flush, and carries the count over to the next name)."""
+        """Our part is not in the count: each limiter puts its own back (guards a flush and a new name)."""
         self.owed.add(now, self.own.read(now))
         self.own.value = 0.0
 
@@ -396,9 +392,8 @@
         return [each for each in self.servers.values() if each.ready()]
 
     def divide(self) -> None:
-        """Choose this limiter's part of a large fleet, by its number: the parts of a round of limiters share
-        the fleet out evenly, and each round shuffles anew. One that sends to all would know none of them, and
-        all together would hold more connections than servers accept (guards against both)."""
+        """Choose this limiter's part of a large fleet: a round of limiters shares it out, each round shuffles
+        anew. Sending to all, one would know none, and all would hold more connections than servers accept."""
         rounds = max(1, min(len(self.servers) // PART, int(self.post.limiters / LIMITERS_FEW)))
         turn, place = divmod(self.post.index, rounds)
         order = sorted(self.servers.values(), key=lambda each: each.rank(turn))
@@ -478,8 +473,8 @@
         if outcome is Outcome.OK or took > usual:
             server.stretch.add(now, min(took / usual, 10.0))
             server.hops.add(now, 1)
-            # One bad server is its own trouble: what is thought ill beside the others says little of the
-            # fleet. Beside the others, so that when all are slow together each still counts in full.
+            # One bad server is its own trouble, and its hops say little of the fleet: by its standing beside
+            # the others, so that when all are slow together each still counts in full.
             mean = sum(each.standing(now, usual) for each in self.part) / max(1, len(self.part))
             blame = min(1.0, server.standing(now, usual) / mean) if mean else 1.0
             self.lasted.add(now, blame * min(took / category.quoted_us, 2.0))
@@ -517,10 +512,9 @@
         self.fleet.landed(hop, report)
 
     def account(self, op: Operation) -> Account:
-        account = self.accounts.get(op.customer)
-        if account is None:
-            account = self.accounts[op.customer] = Account(self.clock, self.counter, op, self.started)
-        return account
+        if op.customer not in self.accounts:
+            self.accounts[op.customer] = Account(self.clock, self.counter, op, self.started)
+        return self.accounts[op.customer]
 
     def operation(self, op: Operation) -> Generator:
         account = self.account(op)
@@ -530,8 +524,7 @@
         if op.over or (wait is not None and not self.pays_beyond(op, account)):
             return (yield from self.turn_back(op, wait))
         # The call has just told what the others let in: under a cap on open hops, look again.
-        latest = min(self.clock.now_us + int(HOLD * op.category.quoted_us), op.ends_us - END_MARGIN)
-        if not (yield from self.hold(op, latest, lambda: self.slot(op, account))):
+        if not (yield from self.hold(op, lambda: self.slot(op, account))):
             account.owed.add(self.clock.now_us, -op.units)
             return (yield from self.turn_back(op, self.fleet.usual(op.category)))
         yield from self.serve(op, account)
@@ -544,14 +537,14 @@
         self.valued.add(now, 1)
         worth = min(1.0, value * self.valued.read(now) / self.value.read(now))
         full = SHED_FROM + (1 - SHED_FROM) * worth
-        latest = min(now + int(HOLD * op.category.quoted_us), op.ends_us - END_MARGIN)
-        return (yield from self.hold(op, latest, lambda: fleet.fullness() < full and self.slot(op, account)))
+        return (yield from self.hold(op, lambda: fleet.fullness() < full and self.slot(op, account)))
 
     def slot(self, op: Operation, account: Account) -> bool:
         return account.slot(self.clock.now_us, op.units, self.fleet.usual(op.category))
 
-    def hold(self, op: Operation, latest: int, ready: Callable[[], bool]) -> Generator:
+    def hold(self, op: Operation, ready: Callable[[], bool]) -> Generator:
         """Wait at the door until it is ready, or too late, or too many wait already."""
+        latest = min(self.clock.now_us + int(HOLD * op.category.quoted_us), op.ends_us - END_MARGIN)
         held = room = False
         while not op.over:
             now, room = self.clock.now_us, ready()
@@ -625,8 +618,7 @@
                     now = self.clock.now_us
                     if now >= stop:
                         yield Answer(Verdict.GIVE_UP)
-                        yield from self.call_off(hops)
-                        return
+                        return (yield from self.call_off(hops))
                     if category.repeat is Repeat.UNREPEATABLE or now >= late or not self.leave.cancel:
                         again = stop
                     elif fleet.fullness() > SHED_FROM:  # a copy now would only lengthen the queues
@@ -651,7 +643,6 @@
             yield Answer(Verdict.GIVE_UP)
 
     def call_off(self, hops: list[Hop]) -> Generator:
-        if self.leave.cancel:
-            for hop in hops:
-                if hop.out:
-                    yield Cancel(hop)
+        for hop in hops:
+            if hop.out and self.leave.cancel:
+                yield Cancel(hop)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -206,3 +206,37 @@
     lease = 3  # a half of the seven units that were left after the first
     left = gate.module.accounts["c0"].store.level
     assert left == pytest.approx(store.burst - 4 - lease, abs=0.1)
+
+
+def test_any_one_look_tells_recent_use():
+    """Found at size: a limiter that seldom looks could not tell from a total when it was used up."""
+    world = World(15, limiters=12, chances=(1, 0, 0, 0, 0, 0))
+    world.run(world.now + 20 * SECOND)
+    for _ in range(2):
+        before = len(world.ran)
+        for i in range(12):
+            world.arrive(i)
+            world.run(world.now + 5_000)
+        assert abs(len(world.ran) - before - PLANS[0].burst) <= 1
+        world.run(world.now + 25 * SECOND)
+
+
+def test_many_limiters_share_a_fleet_out_evenly():
+    """Found in an incident: with all limiters at all servers, connections ran out and none was known."""
+    world = World(16, limiters=60, servers=36)
+    parts = [gate.module.fleet.part for gate in world.gates]
+    served = [sum(1 for part in parts for each in part if each.address == name) for name in world.entries]
+    assert {len(part) for part in parts} == {6} and set(served) == {10}
+    gone = parts[0][0].address
+    world.list(**{gone: GONE})
+    assert all(len(g.module.fleet.part) == 6 for g in world.gates)
+    assert not any(each.address == gone for g in world.gates for each in g.module.fleet.part)
+
+
+def test_ceiling_share_fills_from_the_start():
+    """Found at size: each limiter turned back a customer's first operations under a ceiling."""
+    world = World(17, limiters=1, chances=(1, 0, 0, 0, 0, 0))
+    world.run(world.now + 2 * SECOND)
+    world.arrive(0, plan=1, units=4)
+    world.run(world.now + SECOND)
+    assert len(world.ran) == 1
