Hold a turning away as full against the server for that plan and category only

Told from full servers by other plans being served there.

Also guards against any limit a server keeps by category.

--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -4,8 +4,7 @@
 `limiter.operation(op)`, a generator that yields what it wants done and is resumed with the result; the
 end of every hop goes to `limiter.landed(hop, report)` first and then to the operation. News of servers
 goes to `limiter.listed`.
-What comes in, what is asked for and what is read at start stands in lapisgrade/interface.py; the engine
-that resumes the generators is lapisgrade/engine.py. docs/design.md says why each thing is as it is.
+The interface is lapisgrade/interface.py, the engine lapisgrade/engine.py; docs/design.md says why.
 """
 
 import math
@@ -96,10 +95,8 @@
 
     def asks(self, now: int) -> bool:
         """Whether a call may go out now; with the breaker open, one a while does."""
-        if not self.there:
-            return False
-        if self.silent < SILENT_CALLS:
-            return True
+        if not self.there or self.silent < SILENT_CALLS:
+            return self.there
         if now < self.knock_at:
             return False
         self.knock_at = now + KNOCK_EVERY
@@ -144,9 +141,10 @@
         self.queue: list[Waiting] = []
         self.calling = False
 
-    def slot(self, now: int, units: float, lasts: float) -> bool:
+    def slot(self, units: float, lasts: float) -> bool:
         """Whether the cap on open hops leaves a slot, beside what the other limiters likely have out: their
         use of late, as the count tells it, for as long as a hop lasts."""
+        now = self.clock.now_us
         others = max(0.0, self.count.read(now) - self.own.read(now)) * lasts / self.life / units
         return not self.plan.open_cap or self.open + others < self.plan.open_cap - OPEN_DOUBT
 
@@ -179,8 +177,8 @@
                 return 0  # the client has left, or is about to
         now = self.clock.now_us
         if waiting.let_in is None:
-            # A silent call was mostly counted all the same: it is what the slice lets in, or is taken back
-            # (guards a crowded counter against counting what was never sent, or twice).
+            # A silent call was mostly counted: the slice lets that in, or it is taken back (guards a crowded
+            # counter against counting what was never sent, or twice).
             return self.alone(now, units, waiting.counted)
         if not waiting.let_in:
             return self.store.wait(now, units)
@@ -326,6 +324,7 @@
         self.silent_from = 0  # since when hops are out and none has come back; 0: not so
         self.stretch, self.hops = Decaying(PACE_LIFE), Decaying(PACE_LIFE)
         self.good, self.ill = Decaying(HEALTH_LIFE), Decaying(HEALTH_LIFE)
+        self.full: dict[str, Decaying] = {}  # times turned away of late, by plan and by category
         self.work: Decaying | None = None  # sent of late, while cold
         self.last_sent = 0
 
@@ -349,8 +348,7 @@
         return health
 
     def load(self, now: int, usual: float) -> float:
-        """Hops out, the overdue ones counted by how long they are out: they tell of a queue before any lands
-        (guards against many limiters that each see little of a server)."""
+        """Hops out, overdue ones by their age: they tell of a queue before any lands."""
         return sum(max(1.0, (now - hop.sent) / usual) for hop in self.out)
 
     def standing(self, now: int, usual: float) -> float:
@@ -382,8 +380,7 @@
         self.divide()
         if not self.bound:
             self.bound = max(1.0, HOPS_FROM * len(entries) / self.post.limiters)
-        # Fewer or colder servers carry less from now on, before any hop tells (guards the rest of the fleet
-        # when part of it goes); more of them show in time, as nobody knows yet what they carry.
+        # Fewer or colder servers carry less from now on, before any hop tells (guards those that stay).
         was, self.warm = self.warm, sum(self.warmth(each, self.clock.now_us) for each in self.ready())
         if self.warm < was:
             self.bound = max(1.0, self.bound * self.warm / was)
@@ -420,8 +417,8 @@
         warmth = self.warmth(server, now)
         if warmth >= 1.0 or server.work is None:
             return True
-        # One at a time now and then whatever is known, so that a limiter that knows nothing, or a fleet that
-        # is all cold, gets going; so seldom that all limiters together send one in the span of the rule.
+        # One now and then whatever is known, so that a fleet that is all cold gets going; so seldom that all
+        # limiters together send one in the span of the rule.
         if now - server.last_sent >= self.post.limiters * self.duties.fall_us:
             return True
         rate = self.carried.read(now) / PACE_LIFE / max(1, len(self.part))
@@ -434,12 +431,13 @@
     def draw(self, op: Operation, tried: list[Server], allowed) -> Server | None:
         """Draw one at random, odds in step with the room that each is thought to have."""
         now, usual, work = self.clock.now_us, self.usual(op.category), self.expected(op)
-        choices, odds = [], []
+        names, choices, odds = (op.plan.name, op.category.name), [], []
         for server in self.part:
             if not allowed(server) or not self.cold_room(server, now, work):
                 continue
             room = server.entry.size * self.warmth(server, now) * server.standing(now, usual)
-            room /= (1 + server.load(now, usual)) ** 2
+            full = min(server.full[name].read(now) if name in server.full else 0.0 for name in names)
+            room /= (1 + server.load(now, usual)) ** 2 * (1 + SICK * full) ** 2
             choices.append(server)
             odds.append(room * (0.05 if server in tried else 1.0))
         return self.random.choices(choices, odds)[0] if choices else None
@@ -461,7 +459,10 @@
         took, outcome = report.took_us, report.outcome
         if outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL) or not server.out:
             server.silent_from = now if server.out else 0
-        if outcome is Outcome.NEVER_SENT:
+        if outcome is Outcome.FULL:  # it may have room for others (guards one plan that is turned away)
+            for name in (hop.operation.plan.name, category.name):
+                server.full.setdefault(name, Decaying(PACE_LIFE)).add(now, 1)
+        if outcome in (Outcome.FULL, Outcome.NEVER_SENT):
             return
         usual = self.expected(hop.operation)
         if outcome is Outcome.OK:
@@ -481,8 +482,7 @@
             self.landings.add(now, blame)
             good = 1 - self.lasted.read(now) / (GOOD_TIME * (self.landings.read(now) + 0.1))
             if good < 0 or self.out + 1 >= SHED_FROM * self.bound:
-                # Never under what keeps the fleet at work without a queue: when all are slow together, less
-                # out makes none of them faster (guards against turning all away while servers idle).
+                # When all are slow together, less out makes none faster (guards against idle servers).
                 least = max(1.0, HOPS_LEAST * len(self.ready()) / self.post.limiters)
                 self.bound = max(least, self.bound + STEER * max(-1.0, min(1.0, good)))
 
@@ -524,7 +524,7 @@
         if op.over or (wait is not None and not self.pays_beyond(op, account)):
             return (yield from self.turn_back(op, wait))
         # The call has just told what the others let in: under a cap on open hops, look again.
-        if not (yield from self.hold(op, lambda: self.slot(op, account))):
+        if not (yield from self.hold(op, lambda: account.slot(op.units, self.fleet.usual(op.category)))):
             account.owed.add(self.clock.now_us, -op.units)
             return (yield from self.turn_back(op, self.fleet.usual(op.category)))
         yield from self.serve(op, account)
@@ -537,10 +537,8 @@
         self.valued.add(now, 1)
         worth = min(1.0, value * self.valued.read(now) / self.value.read(now))
         full = SHED_FROM + (1 - SHED_FROM) * worth
-        return (yield from self.hold(op, lambda: fleet.fullness() < full and self.slot(op, account)))
-
-    def slot(self, op: Operation, account: Account) -> bool:
-        return account.slot(self.clock.now_us, op.units, self.fleet.usual(op.category))
+        return (yield from self.hold(
+            op, lambda: fleet.fullness() < full and account.slot(op.units, fleet.usual(op.category))))
 
     def hold(self, op: Operation, ready: Callable[[], bool]) -> Generator:
         """Wait at the door until it is ready, or too late, or too many wait already."""
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -240,3 +240,19 @@
     world.arrive(0, plan=1, units=4)
     world.run(world.now + SECOND)
     assert len(world.ran) == 1
+
+
+def test_what_turns_one_plan_away_still_serves_the_others():
+    """Found at size: servers that turned one plan away as full were held ill for all, and slow as well."""
+    world = World(18, limiters=1, servers=2)
+    world.list(s1=GONE)
+    world.chance = lambda: (Outcome.FULL, 200_000)
+    for step in range(4):
+        world.arrive(0, customer=f"c{step}")
+        world.run(world.now + SECOND)
+    world.list(s1=READY)
+    fleet, draws = world.gates[0].module.fleet, []
+    for plan in (0, 1):
+        op = world.arrive(0, plan=plan, customer="late")
+        draws.append(sum(fleet.draw(op, [], lambda server: True).address == "s0" for _ in range(400)))
+    assert draws[0] < 0.5 * draws[1]
