--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -29,7 +29,7 @@
 
 PACE_LIFE = 12 * SECOND  # us; how long what a hop took is remembered, some dozens of hops a server
 HEALTH_LIFE = 4 * SECOND  # us; how long an ill hop is held against its server
-LIMITERS_FEW = 6.0  # limiters a part has at least; with no more of them each sees enough of every server
+LIMITERS_FEW = 3.0  # limiters that share each part at least; fewer are too uneven a load on its servers
 PRIOR = 4  # hops; weight of what is assumed before anything is seen
 FIRST_GUESS = 0.12  # of the quoted time that a hop is taken to last before any was seen
 SOUND = 1.0  # hops; weight of the thought that a server is as fast as the rest
