An epoch lasts 15 lives of the store at most, so that amounts stay under 1e9

Seen: the protocol's counter turns away amounts over 1e9, and the first counter code clamped them in silence. A store that fills in 1.5 s makes amounts grow by e^20 within an epoch of 30 s, so two units pass 1e9 near its end. Checked: a probe that scaled from the epoch's end instead shows why that is no way out: the counter prints three decimals, and such totals come back as 0.000. So amounts start at their own size and grow by e^15 at most. At fault: the fixed epoch in Account.add, and the clamp in net/counter.py, which goes: the counter's -ERR is heard. Stores that fill in two seconds or more are not touched.

--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -20,6 +20,7 @@
 SECOND = 1_000_000  # us
 
 EPOCH = 30 * SECOND  # us a count's name lives for; short of the counter's longest life, and seldom renewed
+GROWTH = 15  # lives that an epoch lasts at most; amounts grow e-fold in each, and the counter takes up to 1e9
 NAME_LIFE = 45 * SECOND  # us; outlives its epoch, so that a limiter that is late still finds the name
 LEASE_MOST = 50  # operations; the design's cap
 LEASE_LIFE = SECOND  # us; the design's
@@ -127,6 +128,7 @@
         # What is taken counts 1/e after the time the store takes to fill. On the counter it does so too: what
         # is added grows by as much an epoch long, so that any one look tells what is recent.
         self.life = max(SECOND, int(plan.burst / plan.rate * SECOND)) if plan.rate > 0 else SECOND
+        self.lasts = min(EPOCH, GROWTH * self.life)  # us that an epoch lasts
         self.name, self.epoch = 0, -1
         self.count, self.own = Decaying(self.life), Decaying(self.life)  # as last read; our part of it
         self.owed = Decaying(self.life)  # to be added with the next call
@@ -241,14 +243,13 @@
     def add(self, units: float) -> Generator:
         """Add to the count, with what is owed, and bring the store up to date from the total."""
         now = self.clock.now_us
-        if now // EPOCH != self.epoch:
-            self.epoch = now // EPOCH
+        if now // self.lasts != self.epoch:
+            self.epoch = now // self.lasts
             digest = blake2b(f"{self.customer} {self.epoch}".encode(), digest_size=8).digest()
             self.name = int.from_bytes(digest, "big") >> 1
             self.disown(now)
         amount, self.owed.value = units + self.owed.read(now), 0.0
-        started = self.epoch * EPOCH
-        sent = now
+        started, sent = self.epoch * self.lasts, now
         got: Total = yield Add(self.name, amount * math.exp((sent - started) / self.life), NAME_LIFE)
         now = self.clock.now_us
         self.counter.heard(now, got.tally)
--- a/lapisgrade/net/counter.py
+++ b/lapisgrade/net/counter.py
@@ -12,8 +12,6 @@
 from lapisgrade.net.http import CHUNK
 
 SECOND = 1_000_000  # us
-MOST_ADDED = 1e9  # the protocol's
-LONGEST_NAME = 64  # bytes; the protocol's
 
 
 class Call:
@@ -46,9 +44,7 @@
         self._buffer = b""
 
     def add(self, task: Task, add: Add) -> None:
-        # Plain decimals, as the protocol has them; seven digits are what the other side keeps.
-        amount = _decimal(max(-MOST_ADDED, min(MOST_ADDED, add.amount)))
-        words = [b"INCRTTL", b"%d" % add.name, amount, b"%d" % max(1, add.life_us // 1000)]
+        words = [b"INCRTTL", b"%d" % add.name, b"%.6f" % add.amount, b"%d" % max(1, add.life_us // 1000)]
         call = Call(task, b"*4\r\n" + b"".join(b"$%d\r\n%b\r\n" % (len(each), each) for each in words))
         loop = asyncio.get_running_loop()
         call.timer = loop.call_later(self._patience, self._overdue, call)
@@ -139,11 +135,3 @@
                 raise ValueError("an answer without a call")
             self._end(self._out.popleft(), ending, total)
         self._buffer = data[at:]
-
-
-def _decimal(amount: float) -> bytes:
-    """Seven digits and no exponent."""
-    text = f"{amount:.7g}"
-    if "e" in text:
-        text = f"{amount:.30f}".rstrip("0").rstrip(".")
-    return text.encode()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -37,6 +37,7 @@
     Plan("small", 2.0, 8.0, beyond_costs=0.5),
     Plan("capped", 9.0, 20.0, ceiling_rate=18.0, ceiling_burst=40.0, ceiling_slack=4.0),
     Plan("narrow", 5.0, 10.0, open_cap=2),
+    Plan("quick", 12.0, 14.0),
 ]
 
 
@@ -183,6 +184,7 @@
 
     def add(self, task, add):
         world = self.world
+        assert abs(add.amount) <= 1e9, "more than the counter takes"
         if world.silent:
             world.at(30_000, self.counted, task, Total(Tally.SILENT))
             return
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -256,3 +256,12 @@
         op = world.arrive(0, plan=plan, customer="late")
         draws.append(sum(fleet.draw(op, [], lambda server: True).address == "s0" for _ in range(400)))
     assert draws[0] < 0.5 * draws[1]
+
+
+def test_amounts_stay_what_the_counter_takes():
+    """A store that fills within two seconds makes what is added grow fast; it must not pass 1e9."""
+    world = World(5, chances=(1, 0, 0, 0, 0, 0))
+    for _ in range(400):
+        world.arrive(world.random.randrange(3), 0, 3, units=2)
+        world.run(world.now + 100_000)
+    assert len(world.ran) > 300 * PLANS[3].rate / 20
