Reads of 16 KiB and headers taken as they came: less CPU a request

At fault: the buffer of 256 KiB that asyncio makes for each read, and h11's slow iteration over headers.

--- a/lapisgrade/net/counter.py
+++ b/lapisgrade/net/counter.py
@@ -9,7 +9,7 @@
 from lapisgrade.interface import Add
 from lapisgrade.net.ending import Ending
 from lapisgrade.net.events import Counted, Event
-from lapisgrade.net.http import CHUNK
+from lapisgrade.net.http import CHUNK, steady
 
 SECOND = 1_000_000  # us
 
@@ -75,6 +75,7 @@
             self._runs = None
             late = isinstance(wrong, TimeoutError)
             return self._lost(Ending.NEVER_UP if late else Ending.REFUSED)
+        steady(writer)
         self._writer, self._buffer = writer, b""
         while self._waiting:
             call = self._waiting.popleft()
--- a/lapisgrade/net/front.py
+++ b/lapisgrade/net/front.py
@@ -8,7 +8,7 @@
 
 from lapisgrade.interface import Answer, Category, Operation, Plan, Verdict
 from lapisgrade.net.events import Asked, Event, Left, Taken
-from lapisgrade.net.http import CHUNK, MOST_BODY, Garbled, Message, Parser
+from lapisgrade.net.http import CHUNK, MOST_BODY, Garbled, Message, Parser, steady
 from lapisgrade.start import Fields, Malformed
 
 _REASONS = {
@@ -128,6 +128,7 @@
         self._server = await asyncio.start_server(self._serve, host, int(port), backlog=self._most)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        steady(writer)
         client = Client(self, writer)
         self.clients[client] = self.idle[client] = None
         self.counts["clients connected"] += 1
--- a/lapisgrade/net/hops.py
+++ b/lapisgrade/net/hops.py
@@ -10,7 +10,7 @@
 from lapisgrade.interface import Lines
 from lapisgrade.net.ending import Ending
 from lapisgrade.net.events import Asked, Event, Landed
-from lapisgrade.net.http import CHUNK, Garbled, Message, Parser
+from lapisgrade.net.http import CHUNK, Garbled, Message, Parser, steady
 
 SECOND = 1_000_000  # us
 
@@ -41,6 +41,7 @@
         except OSError:
             return self.end(Ending.REFUSED)
         pool.counts["server connections"] += 1
+        steady(self._writer)
         self._writer.transport.set_write_buffer_limits(0)
         self._write()
         try:
--- a/lapisgrade/net/http.py
+++ b/lapisgrade/net/http.py
@@ -1,15 +1,21 @@
 """Cuts HTTP messages out of what a connection brings. h11 parses; bodies stay slices of what was read."""
 
+import asyncio
 from dataclasses import dataclass
 
 import h11
 
-CHUNK = 65_536  # bytes asked for in one read
+CHUNK = 16_384  # bytes asked for in one read; most messages are far smaller
 MOST_BODY = 65_536  # bytes; the protocol's
 # h11 reads an answer only after a request has passed through it; this one tells it all that it needs.
 _PRIMER = h11.Request(method=b"GET", target=b"/", headers=[(b"Host", b"-")])
 
 
+def steady(writer: asyncio.StreamWriter) -> None:
+    """asyncio makes a buffer of 256 KiB for each read, which costs more than the read itself."""
+    writer.transport.max_size = CHUNK
+
+
 class Garbled(Exception):
     """What came is not the protocol; `status` is what a client is told."""
 
@@ -29,7 +35,7 @@
     last: bool  # nothing may follow on this connection
 
     def headers(self) -> dict[bytes, bytes]:
-        return dict(self.head.headers)
+        return {name.lower(): value for name, value in self.head.headers.raw_items()}
 
 
 class Parser:
