--- a/lapisgrade/net/counter.py
+++ b/lapisgrade/net/counter.py
@@ -17,12 +17,13 @@
 class Call:
     """One call; `task` is None once its end has been told, as when its answer comes too late."""
 
-    __slots__ = ("task", "timer", "words")
+    __slots__ = ("task", "timer", "words", "written")
 
     def __init__(self, task: Task, words: bytes) -> None:
         self.task: Task | None = task
         self.words = words
         self.timer: asyncio.TimerHandle | None = None
+        self.written = False
 
 
 class Counter:
@@ -63,6 +64,7 @@
         if not self._out:
             self._heard = asyncio.get_running_loop().time()
         self._out.append(call)
+        call.written = True
         self._writer.write(call.words)
 
     async def _run(self) -> None:
@@ -83,6 +85,8 @@
                 self._write(call)
         try:
             while chunk := await reader.read(CHUNK):
+                if self._writer is not writer:
+                    break  # given up meanwhile: its answers are no longer looked for
                 self._heard = asyncio.get_running_loop().time()
                 self._feed(chunk)
         except (OSError, ValueError) as wrong:
@@ -105,11 +109,9 @@
             self._counts[f"counter calls {ending.value}"] += 1
             self._put(Counted(call.task, ending, total))
             call.task = None
-        else:
-            self._counts["counter answers too late"] += 1
 
     def _overdue(self, call: Call) -> None:
-        self._end(call, Ending.OVERDUE if call in self._out else Ending.WITHHELD)
+        self._end(call, Ending.OVERDUE if call.written else Ending.WITHHELD)
 
     def _feed(self, chunk: bytes) -> None:
         """Answers, each one line or, for a bulk string, two."""
@@ -134,5 +136,8 @@
             at = end + 2
             if not self._out:
                 raise ValueError("an answer without a call")
-            self._end(self._out.popleft(), ending, total)
+            call = self._out.popleft()
+            if call.task is None:
+                self._counts["counter answers too late"] += 1
+            self._end(call, ending, total)
         self._buffer = data[at:]
--- a/lapisgrade/net/discovery.py
+++ b/lapisgrade/net/discovery.py
@@ -39,7 +39,7 @@
         addresses: dict[str, tuple[str, int] | None] = {}
         for row, entry in zip(rows, entries, strict=True):
             host, _, port = row.text("hostPort").rpartition(":") if "hostPort" in row else ("", "", "0")
-            addresses[entry.server] = None if entry.state is Listed.GONE else (host, int(port))
+            addresses[entry.server] = (host, int(port)) if entry.state is Listed.READY else None
         whole = bool(told.get("reset"))
         if whole:
             addresses.update({each: None for each in self._pool.addresses if each not in addresses})
@@ -87,9 +87,9 @@
         return Entry(
             server=row.text("instanceId"),
             state=row.among("lifecycle", STATES, "in_service"),
-            zone=row.get("zone", ""),
+            zone=row.get("zone") or "",
             cell=row.whole("cell", 0),
             size=row.number("weight", 1.0),
-            shape=row.get("machineType", ""),
+            shape=row.get("machineType") or "",
             started_us=round(started_ms * 1000) if started_ms > 0 else 0,
         )
--- a/lapisgrade/net/front.py
+++ b/lapisgrade/net/front.py
@@ -1,36 +1,36 @@
 """Clients' connections: requests in, answers out."""
 
 import asyncio
+import re
 from collections import Counter
 from collections.abc import Callable
+from http import HTTPStatus
 
 import h11
 
-from lapisgrade.interface import Answer, Category, Operation, Plan, Verdict
+from lapisgrade.interface import Answer, Category, Operation, Plan, Repeat, Verdict
 from lapisgrade.net.events import Asked, Event, Left, Taken
 from lapisgrade.net.http import CHUNK, MOST_BODY, Garbled, Message, Parser, steady
 from lapisgrade.start import Fields, Malformed
 
-_REASONS = {
-    200: b"OK",
-    400: b"Bad Request",
-    413: b"Content Too Large",
-    429: b"Too Many Requests",
-    502: b"Bad Gateway",
-    503: b"Service Unavailable",
-}
+SECOND = 1_000_000  # us
+_REASONS = {each.value: each.phrase.encode() for each in HTTPStatus}
+_CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
 
 
 class Client:
     """One client's connection; it carries one operation at a time."""
 
-    __slots__ = ("_early", "_front", "_parser", "_writer", "operation")
+    __slots__ = ("_early", "_front", "_last", "_parser", "_timer", "_writer", "operation", "unwanted")
 
     def __init__(self, front: "Front", writer: asyncio.StreamWriter) -> None:
         self._front, self._writer = front, writer
         self._parser = Parser(h11.SERVER)
         self._early = b""  # came before its turn
+        self._last = False  # the request under way is the connection's last
+        self._timer: asyncio.TimerHandle | None = None  # runs while a request has come in part
         self.operation: Operation | None = None
+        self.unwanted = False  # its request is turned back unread: there are too many connections
 
     async def read(self, reader: asyncio.StreamReader) -> None:
         """Take in all that comes, until the client goes or we close."""
@@ -42,15 +42,18 @@
         if self.operation is not None:
             self._front.put(Left(self.operation))
             self.operation.handle.client = self.operation = None
-        self.close()
+        self._whole()
+        self._writer.close()
+        self._front.forget(self)
 
     def close(self) -> None:
-        self._front.forget(self)
+        """Close once all that was written is out; `read` ends then."""
+        self._front.idle.pop(self, None)
         self._writer.close()
 
     def abort(self) -> None:
         """Close at once, also where what was written can't go out (guards descriptors against lost peers)."""
-        self._front.forget(self)
+        self._front.idle.pop(self, None)
         self._writer.transport.abort()
 
     def reply(self, status: int, body: list, size: int, more: bytes = b"", last: bool = False) -> None:
@@ -66,42 +69,62 @@
     def answer(self, status: int, body: list, size: int, more: bytes = b"") -> None:
         """The final answer to the operation under way."""
         self.operation.handle.client = self.operation = None
-        self.reply(status, body, size, more)
+        self.reply(status, body, size, more, self._last)
         self._next(self._early)
 
     def _next(self, early: bytes) -> None:
+        if self._writer.is_closing():
+            return
         self._parser, self._early = Parser(h11.SERVER), b""
         self._front.idle[self] = None
         if early:
             self._feed(early)
 
+    def _whole(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _too_slow(self) -> None:
+        """The rest of a request never came (guards descriptors against peers that vanish half way)."""
+        self._timer = None
+        self.reply(408, [], 0, last=True)
+
     def _feed(self, chunk: bytes) -> None:
         if self.operation is not None:
             self._early += chunk
             if len(self._early) > 2 * MOST_BODY:
-                self._writer.transport.abort()  # `read` sees the end, and says that it left
+                self.abort()  # `read` sees the end, and says that it left
             return
         if self._writer.is_closing():
             return
         try:
             message = self._parser.feed(chunk)
             if message is not None:
+                self._whole()
                 self._take(message)
-            elif self._parser.expects():
-                self._writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                return
         except Garbled as wrong:
             self._front.say(f"a request was answered {wrong.status}: {wrong}")
             self.reply(wrong.status, [], 0, last=True)
+            return
+        self._front.idle.pop(self, None)
+        if self._timer is None:
+            self._timer = asyncio.get_running_loop().call_later(self._front.patience, self._too_slow)
+        if self._parser.expects():
+            self._writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _take(self, message: Message) -> None:
         front = self._front
         if message.head.target == front.UP:
             self.reply(200, [], 0, last=message.last)
-            if not message.last:
-                self._next(message.rest)
+            self._next(message.rest)
+            return
+        if self.unwanted:
+            self.reply(503, [], 0, last=True)
             return
-        self._early = message.rest
         self.operation = front.operation(self, message)
+        self._early, self._last = message.rest, message.last
         front.idle.pop(self, None)
         front.put(Taken(self.operation))
 
@@ -120,6 +143,7 @@
         self._plans = {each.name.encode(): each for each in plans}
         self.clients: dict[Client, None] = {}
         self.idle: dict[Client, None] = {}  # with no operation; the one idle for longest first
+        self.patience = max((each.hard_stop_us for each in categories), default=SECOND) / SECOND
         self.closing = False  # each answer is its connection's last from now on
         self._server: asyncio.Server | None = None
 
@@ -133,7 +157,11 @@
         self.clients[client] = self.idle[client] = None
         self.counts["clients connected"] += 1
         if len(self.clients) > self._most:  # guards the descriptors
-            next(iter(self.idle)).abort()
+            oldest = next(iter(self.idle))
+            if oldest is client:
+                client.unwanted = True
+            else:
+                oldest.abort()
         await client.read(reader)
 
     def forget(self, client: Client) -> None:
@@ -158,13 +186,22 @@
             name, _, quota[name] = part.partition("=")
         quota["timeout"] = headers.get(b"x-timeout", b"").decode("ascii", "replace")
         try:
+            customer, key = _named(headers, b"x-customer"), headers.get(b"idempotency-key")
+            category = _among(self._categories, _named(headers, b"x-priority-class"), "category")
+            units, timeout = quota.number("units", 1.0), quota.number("timeout")
+            if not _CUSTOMER.fullmatch(customer):
+                raise Malformed("the customer is not 16 hex digits")
+            if units <= 0 or timeout <= 0:
+                raise Malformed("units and time must be above 0")
+            if key is None and category.repeat is Repeat.DEDUPLICATED:
+                raise Malformed("a key is missing, by which servers would know a repeat")
             return Operation(
-                customer=_named(headers, b"x-customer").decode("ascii", "replace"),
+                customer=customer.decode().lower(),
                 plan=_among(self._plans, _named(headers, b"x-plan"), "plan"),
-                category=_among(self._categories, _named(headers, b"x-priority-class"), "category"),
-                units=quota.number("units", 1.0),
+                category=category,
+                units=units,
                 arrived_us=now,
-                ends_us=now + round(quota.number("timeout") * 1_000_000),
+                ends_us=now + min(round(timeout * SECOND), category.hard_stop_us),
                 gateways=max(1, quota.whole("spread", 1)),
                 first_gateway=quota.whole("first", 0),
                 retried=headers.get(b"x-retried") == b"1",
@@ -174,7 +211,7 @@
                     message.head.target,
                     headers.get(b"host", b""),
                     _named(headers, b"x-request-id"),
-                    headers.get(b"idempotency-key"),
+                    key,
                     message.body,
                 ),
             )
@@ -201,4 +238,4 @@
         return 502, b""
     if answer.come_back_us <= 0:
         return 429, b""
-    return 429, b"Retry-After: %.3f\r\n" % (answer.come_back_us / 1_000_000)
+    return 429, b"Retry-After: %.3f\r\n" % (answer.come_back_us / SECOND)
--- a/lapisgrade/net/hops.py
+++ b/lapisgrade/net/hops.py
@@ -1,6 +1,7 @@
 """Hops on connections to servers, and the pool of these."""
 
 import asyncio
+import select
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
@@ -19,23 +20,25 @@
     """One connection to one server, with one hop on it at most."""
 
     __slots__ = (
-        "_parser", "_pool", "_task", "_timer", "_unwritten", "_writer", "closed", "hop", "idle_from",
-        "server",
+        "_address", "_parser", "_pool", "_reader", "_task", "_timer", "_unwritten", "_writer", "closed",
+        "hop", "idle_from", "server",
     )
 
     def __init__(self, pool: "Pool", server: str, hop: Any) -> None:
         self._pool, self.server, self.hop, self.idle_from, self.closed = pool, server, hop, 0, False
+        self._address = pool.addresses[server]
         self._parser: Parser | None = None
+        self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
         self._unwritten = False
         self._timer = pool.timer(hop.operation.ends_us, self._overdue)
-        self._task = asyncio.get_running_loop().create_task(self._run(*pool.addresses[server]))
+        self._task = asyncio.get_running_loop().create_task(self._run())
 
-    async def _run(self, host: str, port: int) -> None:
+    async def _run(self) -> None:
         pool = self._pool
         try:
             async with asyncio.timeout(pool.lines.dial_us / SECOND):
-                reader, self._writer = await asyncio.open_connection(host, port)
+                self._reader, self._writer = await asyncio.open_connection(*self._address)
         except TimeoutError:
             return self.end(Ending.NEVER_UP)
         except OSError:
@@ -45,7 +48,7 @@
         self._writer.transport.set_write_buffer_limits(0)
         self._write()
         try:
-            while chunk := await reader.read(CHUNK):
+            while chunk := await self._reader.read(CHUNK):
                 self._feed(chunk)
             if self.hop is not None and not self._unwritten:
                 self._feed(b"")  # an answer may end with its connection
@@ -53,6 +56,19 @@
             pass
         self.end(Ending.UNWRITTEN if self._unwritten else Ending.BROKEN)
 
+    def usable(self) -> bool:
+        """Whether the other side has left it open, as far as this machine knows by now.
+
+        What is written to a connection that was closed ends as broken, and may not be sent again (guards
+        operations that must not repeat).
+        """
+        if self._writer.is_closing() or self._reader.at_eof() or not self._current():
+            return False
+        return not select.select([self._writer.get_extra_info("socket")], [], [], 0)[0]
+
+    def _current(self) -> bool:
+        return self._pool.addresses.get(self.server) == self._address
+
     def ask(self, hop: Any) -> None:
         """Put a hop on a connection that stands idle."""
         self.hop = hop
@@ -62,7 +78,8 @@
     def _write(self) -> None:
         hop, pool = self.hop, self._pool
         asked: Asked = hop.operation.handle
-        if asked.client is None:  # guards rule 1: the connection came up after the operation's end
+        # Guards rules 1 and 3: the connection came up after the operation's end, or as the server leaves.
+        if asked.client is None or not self._current():
             return self.end(Ending.WITHHELD)
         self._parser = Parser(h11.CLIENT)
         left = max(1, hop.operation.ends_us - pool.now()) / SECOND
@@ -102,7 +119,7 @@
             hop, self.hop = self.hop, None
             self._timer.cancel()
             self._pool.landed(hop, told(message), message)
-            if message.last or message.rest or self._unwritten:
+            if message.last or message.rest or self._unwritten or not self._current():
                 self.end(Ending.IDLE)
             else:
                 self._pool.keep(self)
@@ -146,9 +163,10 @@
         """Put a hop on the connection used last, or on a new one."""
         server = hop.server.address
         self.counts["hops"] += 1
-        idle = self._idle.get(server)
-        if idle:
-            self._close_stale(idle)
+        idle = self._idle.get(server, [])
+        self._close_stale(idle)
+        while idle and not idle[-1].usable():
+            idle[-1].end(Ending.IDLE)
         if idle:
             link = idle.pop()
             self._links[hop] = link
@@ -184,18 +202,14 @@
                 idle.remove(link)
 
     def known(self, addresses: dict[str, tuple[str, int] | None]) -> None:
-        """Where servers listen; None for one that is gone."""
+        """Where servers listen; None for one that wants nothing new."""
         for server, address in addresses.items():
-            if address != self.addresses.get(server):
-                for link in list(self._idle.get(server, [])):
-                    link.end(Ending.IDLE)
             if address is not None:
                 self.addresses[server] = address
-
-    def close_idle(self) -> None:
-        for idle in self._idle.values():
-            while idle:
-                idle[0].end(Ending.IDLE)
+            else:
+                self.addresses.pop(server, None)
+            for link in [each for each in self._idle.get(server, []) if not each.usable()]:
+                link.end(Ending.IDLE)
 
     def _close_one(self) -> bool:
         """Close the connection idle for longest, to make room; whether there was one."""
