Tests of the net code on loopback among stand-ins; what they found is fixed

They found: a client used again kept its old place among the idle ones, so that the one used last was closed first; tasks left over when an embedding program ends a limiter.

--- a/lapisgrade/net/counter.py
+++ b/lapisgrade/net/counter.py
@@ -60,6 +60,13 @@
             if self._runs is None:
                 self._runs = loop.create_task(self._run())
 
+    def close(self) -> None:
+        """The end: no call goes out any more."""
+        if self._runs is not None:
+            self._runs.cancel()
+        if self._writer is not None:
+            self._writer.transport.abort()
+
     def _write(self, call: Call) -> None:
         if not self._out:
             self._heard = asyncio.get_running_loop().time()
--- a/lapisgrade/net/front.py
+++ b/lapisgrade/net/front.py
@@ -76,6 +76,7 @@
         if self._writer.is_closing():
             return
         self._parser, self._early = Parser(h11.SERVER), b""
+        self._front.idle.pop(self, None)
         self._front.idle[self] = None
         if early:
             self._feed(early)
@@ -175,7 +176,10 @@
             client.close()
 
     def close(self) -> None:
+        """The end: no new connections, and none that is left goes on."""
         self._server.close()
+        for client in list(self.clients):
+            client.abort()
 
     def operation(self, client: Client, message: Message) -> Operation:
         """The operation that a request stands for; Garbled, where it stands for none."""
--- a/lapisgrade/net/hops.py
+++ b/lapisgrade/net/hops.py
@@ -211,6 +211,11 @@
             for link in [each for each in self._idle.get(server, []) if not each.usable()]:
                 link.end(Ending.IDLE)
 
+    def close(self) -> None:
+        """The end: all that is out is called off."""
+        for link in [*self._links.values(), *(link for idle in self._idle.values() for link in idle)]:
+            link.end(Ending.CALLED_OFF)
+
     def _close_one(self) -> bool:
         """Close the connection idle for longest, to make room; whether there was one."""
         fronts = [idle[0] for idle in self._idle.values() if idle]
--- a/lapisgrade/net/service.py
+++ b/lapisgrade/net/service.py
@@ -65,15 +65,20 @@
         self._discovery.take(self._known)
         tasks = [asyncio.create_task(self.host.run()), asyncio.create_task(self._discovery.follow())]
         await self._front.open(self._listen)
-        await self._end.wait()
-        await asyncio.sleep(COMING)
-        self._front.close_idle()
-        while self._front.clients or self.host.owed:
-            await asyncio.sleep(LOOK)
-        self._front.close()
-        for task in tasks:
-            task.cancel()
-        self.report()
+        try:
+            await self._end.wait()
+            await asyncio.sleep(COMING)
+            self._front.close_idle()
+            while self._front.clients or self.host.owed:
+                await asyncio.sleep(LOOK)
+        finally:
+            for task in tasks:
+                task.cancel()
+            self._front.close()
+            self.host.pool.close()
+            if self.host.counter is not None:
+                self.host.counter.close()
+            self.report()
 
     def report(self) -> None:
         self._log.counts(self.counts)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,6 +1,10 @@
-"""A stand-in carrier and a stand-in counter for the tests: several limiters on one hand-moved clock."""
+"""Stand-ins for the tests: a carrier and a counter on a hand-moved clock, and all parties on loopback."""
 
+import asyncio
+import contextlib
 import heapq
+import json
+import socket
 from random import Random
 
 from lapisgrade.decide import Limiter
@@ -25,6 +29,7 @@
     Verdict,
     Word,
 )
+from lapisgrade.net.service import Service
 
 SECOND = 1_000_000
 DUTIES = Duties(250_000, 15 * SECOND, 0.2, SECOND, 3.0)
@@ -212,3 +217,224 @@
 
     def __init__(self, hop, name, sent):
         self.hop, self.name, self.sent, self.ended = hop, name, sent, None
+
+
+# ---- stand-ins on loopback, from the operators' protocol
+
+
+async def heard(reader):
+    """One HTTP message: its first line, headers and body."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    headers = {name.lower(): value for name, _, value in (line.partition(": ") for line in head[1:-2])}
+    return head[0], headers, await reader.readexactly(int(headers.get("content-length", 0)))
+
+
+class Party:
+    """Whoever listens: `manner` says how it behaves, for each message or for all."""
+
+    def __init__(self, manner="well"):
+        self.manner, self.seen, self.writers, self.port = manner, [], [], 0
+
+    async def open(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def serve(self, reader, writer):
+        self.writers.append(writer)
+        try:
+            while await self.turn(reader, writer):
+                pass
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        writer.transport.abort()
+
+    def shut(self):
+        """Close every connection, as a process that dies does."""
+        for writer in self.writers:
+            writer.transport.abort()
+        self.writers.clear()
+
+    def close(self):
+        self.shut()
+        self.server.close()
+
+    def how(self):
+        return self.manner() if callable(self.manner) else self.manner
+
+
+class Backend(Party):
+    """A server."""
+
+    async def turn(self, reader, writer):
+        first, headers, body = await heard(reader)
+        how = self.how()
+        self.seen.append((first, headers, body, asyncio.get_running_loop().time(), how))
+        if isinstance(how, float):  # seconds that it takes
+            await asyncio.sleep(how)
+            how = "well"
+        answer = {
+            "well": f"HTTP/1.1 200 OK\r\nContent-Length: {len(body) + 4}\r\n\r\nfor ".encode() + body,
+            "chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfor \r\n"
+            + (b"%x\r\n%b\r\n" % (len(body), body) if body else b"") + b"0\r\n\r\n",
+            "end": b"HTTP/1.1 200 OK\r\n\r\nfor " + body,
+            "short": b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\nfor ",
+            "error": b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n",
+            "full": b"HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n",
+            "plain 503": b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n",
+            "noise": b"what?\r\n\r\n",
+            "load": b"HTTP/1.1 500 Oops\r\nX-Server-Load: TEXT inflight=7, util=0.5\r\n"
+            b"Content-Length: 0\r\n\r\n",
+            "close": b"",
+        }.get(how)
+        if answer is None:  # silent
+            await asyncio.sleep(30)
+        writer.write(answer)
+        await writer.drain()
+        return how not in ("short", "end", "close")
+
+
+class Till(Party):
+    """The counter."""
+
+    def __init__(self, manner="well"):
+        super().__init__(manner)
+        self.counts = {}
+
+    async def turn(self, reader, writer):
+        words = []
+        for _ in range(int((await reader.readuntil(b"\r\n"))[1:])):
+            size = int((await reader.readuntil(b"\r\n"))[1:])
+            words.append((await reader.readexactly(size + 2))[:-2])
+        self.seen.append(words)
+        how = self.how()
+        if isinstance(how, float):
+            await asyncio.sleep(how)
+        if how == "silent":
+            await asyncio.sleep(30)
+        if how == "busy":
+            writer.write(b"-BUSY try later\r\n")
+        elif how != "close":
+            name, amount = words[1], float(words[2])
+            self.counts[name] = self.counts.get(name, 0.0) + amount
+            total = b"%.3f" % self.counts[name]
+            for part in (b"$%d\r" % len(total), b"\n" + total[:1], total[1:] + b"\r\n"):
+                writer.write(part)
+                await asyncio.sleep(0)
+        return how != "close"
+
+
+class Agent(Party):
+    """Discovery."""
+
+    def __init__(self, rows):
+        super().__init__()
+        self.rows, self.generation, self.calls, self.changed = rows, 3, [], asyncio.Event()
+
+    def change(self, **states):
+        for row in self.rows:
+            row["lifecycle"] = states.get(row["instanceId"], row["lifecycle"])
+        self.generation += 1
+        self.changed.set()
+
+    def told(self, reset=True):
+        return {"generation": self.generation, "reset": reset, "instances": self.rows}
+
+    async def turn(self, reader, writer):
+        first, _, _ = await heard(reader)
+        self.calls.append((first.split(" ")[1], asyncio.get_running_loop().time()))
+        if "since=" in first and f"since={self.generation}&" in first:
+            self.changed.clear()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.changed.wait(), 0.3)
+        if self.manner == "silent":
+            await asyncio.sleep(30)
+        body = json.dumps(self.told(False)).encode()
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+        return True
+
+
+class Site:
+    """One limiter on loopback among stand-ins for all that it talks to."""
+
+    def __init__(self, servers=2, sockets=1024):
+        self.backends = [Backend() for _ in range(servers)]
+        self.till, self.sockets = Till(), sockets
+
+    async def __aenter__(self):
+        for each in (*self.backends, self.till):
+            await each.open()
+        self.agent = await Agent([
+            {"instanceId": f"s{i}", "hostPort": f"127.0.0.1:{each.port}", "zone": "z", "cell": 1,
+             "lifecycle": "in_service", "weight": 1.0, "startedAtMs": 0}
+            for i, each in enumerate(self.backends)
+        ]).open()
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.port = free.getsockname()[1]
+        self.service = Service(self.told())
+        self.run = asyncio.create_task(self.service.run())
+        while (await self.ask(path="/up"))[0] != 200:
+            pass
+        return self
+
+    async def __aexit__(self, *_):
+        self.run.cancel()
+        await asyncio.wait([self.run])
+        for each in (*self.backends, self.till, self.agent):
+            each.close()
+
+    def told(self):
+        kinds = [("look", "repeatable"), ("file", "by_key"), ("burn", "once")]
+        return {
+            "name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{self.agent.port}",
+            "seed": "8c1f30d27a5be964", "counter": f"127.0.0.1:{self.till.port}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
+            "known": self.agent.told(),
+            "settings": {
+                "SelfIndex": 0, "NInstances": 1, "Zone": "z", "Zones": ["z"],
+                "RequestClasses": [
+                    {"Name": name, "Idempotency": repeat, "Aim": 400.0, "Deadline": 1000.0, "Worth": 1.0,
+                     "Group": "all", "KeyTtl": 4000.0}
+                    for name, repeat in kinds
+                ],
+                "TiersOfService": [{"Name": "wide", "UnitsPerS": 500, "Burst": 900},
+                                   {"Name": "none", "UnitsPerS": 0.1, "Burst": 1}],
+                "Ceilings": {"AttemptsCap": 4, "Cancel": True, "ParallelTries": True, "RetryAfter": True,
+                             "MaxRetryAfter": 500.0, "DialTimeout": 100.0, "Keepalive": 30000.0},
+                "Rules": {"DrainGrace": 250.0, "Cold": 5000.0, "ColdFrom": 0.3, "Fall": 1000.0,
+                          "FallMultiple": 4.0},
+                "Specifics": {"SharedCounter": True, "CountLimit": 30.0},
+            },
+        }
+
+    async def connect(self):
+        while True:
+            with contextlib.suppress(OSError):
+                return await asyncio.open_connection("127.0.0.1", self.port)
+            await asyncio.sleep(0.01)
+
+    def request(self, kind="look", number="1", body=b"", path="/api?q=1", timeout="0.800", **more):
+        headers = {
+            "Host": "api.internal", "X-Request-ID": number, "X-Priority-Class": kind, "X-Plan": "wide",
+            "X-Customer": "00000000b4d65521", "X-Timeout": timeout, "X-Quota": "units=2,spread=1,first=0",
+        }
+        if kind == "file":
+            headers["Idempotency-Key"] = "k" + number
+        if kind != "look" or body:
+            headers["Content-Length"] = str(len(body))
+        headers |= {name.replace("_", "-"): value for name, value in more.items()}
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items() if value is not None)
+        return f"{'GET' if kind == 'look' else 'POST'} {path} HTTP/1.1\r\n{lines}\r\n".encode() + body
+
+    async def ask(self, *args, on=None, **more):
+        """One request on a connection, its own if none is given; status, headers and body of the answer."""
+        reader, writer = on or await self.connect()
+        writer.write(self.request(*args, **more))
+        first, headers, body = await heard(reader)
+        if on is None:
+            writer.close()
+        return int(first.split(" ")[1]), headers, body
+
+    def sent(self, number):
+        """The hops of a request that came whole to servers."""
+        return [seen for each in self.backends for seen in each.seen if seen[1]["x-request-id"] == number]
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,487 @@
+"""The limiter on loopback, among stand-ins: the failures that connections meet, and the rules by chance."""
+
+import asyncio
+import functools
+import json
+import os
+import signal
+import subprocess
+import sys
+from collections import Counter
+from random import Random
+from types import SimpleNamespace
+
+import pytest
+from helpers import Backend, Site, heard
+
+from lapisgrade import start
+from lapisgrade.interface import Add, Lines, Outcome, Tally
+from lapisgrade.net.counter import Counter as Calls
+from lapisgrade.net.ending import Ending
+from lapisgrade.net.events import Asked, Landed
+from lapisgrade.net.hops import Pool, load_report
+from lapisgrade.net.host import wall
+from lapisgrade.net.log import LINES_A_SECOND, Log
+
+SECOND = 1_000_000
+
+
+def on_loopback(test):
+    """Run a test that is a coroutine, for a while at most."""
+
+    @functools.wraps(test)
+    def run(**kwargs):
+        asyncio.run(asyncio.wait_for(test(**kwargs), 20))
+
+    return run
+
+
+async def until(true):
+    while not true():
+        await asyncio.sleep(0.01)
+
+
+# ---- clients
+
+
+@on_loopback
+async def test_requests_and_answers_pass_on_unchanged():
+    async with Site(servers=1) as site:
+        on = await site.connect()
+        body = bytes(range(256)) * 200
+        for number, manner in enumerate(["well", "chunks", "end", "well"]):
+            site.backends[0].manner = manner
+            status, _, answer = await site.ask("file", str(number), body, on=on, path="/api/a?b=c%20d")
+            assert (status, answer) == (200, b"for " + body), manner
+            first, headers, came, *_ = site.backends[0].seen[-1]
+            assert first == "POST /api/a?b=c%20d HTTP/1.1" and came == body
+            assert headers["x-request-id"] == str(number) and headers["idempotency-key"] == f"k{number}"
+            assert 0.5 < float(headers["x-timeout"]) <= 0.8
+        assert len(site.backends[0].writers) == 2  # "end" closed one; the others were used again
+
+
+@on_loopback
+async def test_a_request_may_come_in_pieces_and_in_chunks():
+    async with Site() as site:
+        reader, writer = await site.connect()
+        for byte in site.request("burn", "7", b"abc"):
+            writer.write(bytes([byte]))
+            await asyncio.sleep(0)
+        assert (await heard(reader))[2] == b"for abc"
+        how = {"Content_Length": None, "Transfer_Encoding": "chunked", "Expect": "100-continue"}
+        writer.write(site.request("burn", "8", **how))
+        assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 100")
+        writer.write(b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n")
+        assert (await heard(reader))[2] == b"for abc"
+
+
+@on_loopback
+async def test_a_request_that_comes_before_its_turn_waits_for_it():
+    async with Site() as site:
+        reader, writer = await site.connect()
+        writer.write(site.request("burn", "1", b"one") + site.request("burn", "2", b"two"))
+        assert [(await heard(reader))[2] for _ in range(2)] == [b"for one", b"for two"]
+
+
+@on_loopback
+async def test_bad_requests_get_400_and_no_traceback(capfd):
+    async with Site() as site:
+        for bad in [
+            {"X_Plan": "other"}, {"X_Plan": None}, {"X_Customer": "zz"}, {"X_Timeout": "soon"},
+            {"X_Timeout": "-1"}, {"X_Timeout": "1e400"}, {"X_Quota": "units=0"}, {"X_Quota": "units=x"},
+            {"X_Quota": "spread=1e9"}, {"X_Priority_Class": "none"}, {"X_Request_ID": None},
+            {"X_Customer": "\xff" * 8}, {"Content_Length": "many"}, {"Host": None}, {"bad header": "1"},
+            {"kind": "file", "Idempotency_Key": None},
+        ]:
+            status, headers, _ = await site.ask(**{"kind": "burn", **bad})
+            assert status == 400 and headers["connection"] == "close", bad
+        assert (await site.ask("burn", body=bytes(70_000)))[0] == 413
+        assert (await site.ask(timeout="1e300"))[0] == 200  # no longer than the hard stop
+        reader, writer = await site.connect()
+        writer.write(b"\x16\x03\x01\x02\r\n\r\n")
+        assert (await heard(reader))[0].startswith("HTTP/1.1 400")
+        assert len(site.sent("1")) == 1 and not site.service.counts["faults"]
+    assert "Traceback" not in capfd.readouterr().err
+
+
+@on_loopback
+async def test_refusals_say_when_to_come_back():
+    async with Site() as site:
+        answers = [await site.ask(number=str(i), X_Plan="none") for i in range(3)]
+        status, headers, _ = answers[-1]
+        assert status == 429 and 0 < float(headers["retry-after"]) <= 0.5 and not site.sent("2")
+
+
+@on_loopback
+async def test_a_client_that_goes_takes_its_hops_along():
+    async with Site(servers=1) as site:
+        site.backends[0].manner = "silent"
+        _, writer = await site.connect()
+        writer.write(site.request("burn", "5"))
+        await until(lambda: site.sent("5"))
+        writer.close()
+        await until(lambda: site.service.counts["operations whose client left"] == 1)
+        await until(lambda: site.service.counts["hops called off"] == 1)
+        assert not site.service.host.owed
+
+
+@on_loopback
+async def test_idle_clients_make_room_and_busy_ones_keep_theirs():
+    async with Site(sockets=16) as site:
+        kept = [await site.connect() for _ in range(8)]
+        await site.ask(path="/up", on=kept[0])  # the one used last is the last to go
+        more = [await site.connect() for _ in range(4)]
+        assert [await reader.read(1) for reader, _ in kept[1:5]] == [b""] * 4
+        left = [kept[0], *kept[5:], *more]
+        for _, writer in left:
+            writer.write(site.request("burn")[:50])
+        await asyncio.sleep(0.05)
+        assert (await site.ask("burn", "over"))[0] == 503 and not site.sent("over")
+        for reader, writer in left:
+            writer.write(site.request("burn")[50:])
+            assert (await heard(reader))[0].startswith("HTTP/1.1 200")
+
+
+@on_loopback
+async def test_a_request_that_stops_half_way_is_not_waited_for():
+    async with Site() as site:
+        reader, writer = await site.connect()
+        writer.write(site.request()[:40])
+        assert (await heard(reader))[0].startswith("HTTP/1.1 408")  # after the longest hard stop
+
+
+# ---- the end of a limiter
+
+
+@on_loopback
+async def test_what_is_owed_at_the_end_is_answered():
+    async with Site() as site:
+        for each in site.backends:
+            each.manner = 0.6
+        idle, busy = await site.connect(), await site.connect()
+        asked = asyncio.create_task(site.ask("burn", "1", on=busy))
+        await asyncio.sleep(0.05)
+        site.service.end()
+        await asyncio.sleep(0.1)
+        late = asyncio.create_task(site.ask("burn", "2"))  # still comes, on a new connection
+        assert (await site.ask("look", "3", on=idle, timeout="0.1"))[0] == 502  # or on one that was kept
+        assert (await asked)[0] == 200 and (await late)[0] == 200
+        assert (await late)[1]["connection"] == "close" and await idle[0].read() == b""
+        await asyncio.wait_for(site.run, 1)
+
+
+def test_as_a_process_it_says_what_is_wrong_and_prints_its_counters(tmp_path):
+    told = tmp_path / "config.json"
+
+    def run():
+        return subprocess.Popen(
+            [sys.executable, "-m", "lapisgrade"], stderr=subprocess.PIPE, text=True,
+            env={**os.environ, "ROUTER_CONFIG": str(told)},
+        )
+
+    for text, words in [("{", "the configuration: "), ('{"name": 3}', "name is"), ("[]", "not an object")]:
+        told.write_text(text)
+        process = run()
+        _, said = process.communicate(timeout=20)
+        assert process.returncode == 2 and words in said and said.count("\n") == 1
+    site = Site()
+    site.agent = SimpleNamespace(port=1, told=lambda: {"generation": 1, "reset": True, "instances": []})
+    site.port = Random(os.getpid()).randrange(20_000, 30_000)
+    told.write_text(json.dumps(site.told()))
+    process = run()
+
+    async def ask():
+        return (await site.ask(path="/up"))[0], (await site.ask())[0]
+
+    assert asyncio.run(asyncio.wait_for(ask(), 10)) == (200, 429)  # no server is known
+    process.send_signal(signal.SIGTERM)
+    _, said = process.communicate(timeout=5)
+    assert process.returncode == 0 and "operations 1" in said and "answered 429 1" in said
+
+
+# ---- hops
+
+
+class Hop:
+    """A hop as the pool needs it."""
+
+    def __init__(self, now, body=b"x", server="s", lasts=0.5):
+        asked = Asked(object(), b"POST", b"/api", b"h", b"1", None, [body])
+        self.operation = SimpleNamespace(handle=asked, ends_us=now() + int(lasts * SECOND))
+        self.server = SimpleNamespace(address=server)
+
+
+def pool(port, dial=1.0, idle=30.0):
+    landed, now = asyncio.Queue(), wall()
+    lines = Lines(int(dial * SECOND), int(idle * SECOND))
+    made = Pool(landed.put_nowait, now, lambda text: None, Counter(), lines, 4)
+    made.known({"s": ("127.0.0.1", port)})
+    return made, landed, now
+
+
+@on_loopback
+async def test_each_ending_of_a_hop_is_told_for_what_it_is():
+    backend = await Backend().open()
+    made, landed, now = pool(backend.port)
+    for manner, ending, outcome in [
+        ("well", Ending.ANSWERED, Outcome.OK),
+        ("error", Ending.ERRED, Outcome.ERROR),
+        ("full", Ending.TURNED_AWAY, Outcome.FULL),
+        ("plain 503", Ending.ERRED, Outcome.ERROR),
+        ("noise", Ending.GARBLED, Outcome.ERROR),
+        ("short", Ending.BROKEN, Outcome.BROKEN),
+        ("close", Ending.BROKEN, Outcome.BROKEN),
+        ("silent", Ending.OVERDUE, Outcome.TIMED_OUT),
+    ]:
+        backend.manner = manner
+        made.send(Hop(now))
+        event: Landed = await landed.get()
+        assert (event.ending, event.ending.outcome) == (ending, outcome), manner
+        assert not outcome.never_ran or manner == "full"
+    backend.manner = "load"
+    made.send(Hop(now))
+    assert load_report((await landed.get()).message) == {"inflight": 7.0, "util": 0.5}
+    backend.manner = "silent"
+    hop = Hop(now)
+    made.send(hop)
+    await asyncio.sleep(0.05)
+    made.cancel(hop)
+    assert (await landed.get()).ending is Ending.CALLED_OFF
+    backend.close()
+    made.send(Hop(now))
+    assert (await landed.get()).ending.outcome is Outcome.NO_CONNECTION
+    made.send(Hop(now, server="unknown"))
+    assert (await landed.get()).ending.outcome is Outcome.NEVER_SENT
+
+
+@on_loopback
+async def test_a_connection_that_never_comes_up_has_run_nothing():
+    async def nobody():
+        await asyncio.sleep(30)
+
+    made, landed, now = pool(1, dial=0.1)
+    real, asyncio.open_connection = asyncio.open_connection, lambda *_: nobody()
+    try:
+        made.send(Hop(now))
+        assert (await landed.get()).ending is Ending.NEVER_UP
+        hop = Hop(now)
+        made.send(hop)
+        made.cancel(hop)
+        assert (await landed.get()).ending is Ending.WITHHELD
+    finally:
+        asyncio.open_connection = real
+
+
+@on_loopback
+async def test_nothing_is_written_for_what_has_its_answer_or_to_a_server_that_leaves():
+    backend = await Backend().open()
+    made, landed, now = pool(backend.port)
+    over, leaving = Hop(now), Hop(now)
+    made.send(over)
+    over.operation.handle.client = None
+    assert (await landed.get()).ending is Ending.WITHHELD
+    made.send(leaving)
+    made.known({"s": None})
+    assert (await landed.get()).ending is Ending.WITHHELD and not backend.seen
+    backend.close()
+
+
+@on_loopback
+async def test_a_connection_is_closed_by_us_before_the_server_does():
+    """What is written to a connection that the server has closed may have run, for all that we know."""
+    backend = await Backend().open()
+    made, landed, now = pool(backend.port, idle=1.6)
+    for wait, connections in [(0.0, 1), (0.0, 1), (0.65, 2)]:
+        await asyncio.sleep(wait)
+        made.send(Hop(now))
+        assert (await landed.get()).ending is Ending.ANSWERED
+        assert made.counts["server connections"] == connections
+    backend.shut()
+    await asyncio.sleep(0)  # it is closed, and its end is not yet read
+    made.send(Hop(now))
+    assert (await landed.get()).ending is Ending.ANSWERED and made.counts["server connections"] == 3
+    backend.close()
+
+
+@on_loopback
+async def test_a_request_half_written_has_not_run():
+    """A server that stops reading and dies: the last byte never left this machine."""
+
+    async def deaf(reader, writer):
+        reader._transport.pause_reading()
+        await asyncio.sleep(0.2)
+        writer.transport.abort()
+
+    server = await asyncio.start_server(deaf, "127.0.0.1", 0, limit=1024)
+    made, landed, now = pool(server.sockets[0].getsockname()[1])
+    made.send(Hop(now, body=bytes(30_000_000)))
+    event = await landed.get()
+    assert event.ending is Ending.UNWRITTEN and event.ending.outcome.never_ran
+    server.close()
+
+
+@on_loopback
+async def test_the_pool_keeps_within_its_connections():
+    parties = [await Backend(0.1).open() for _ in range(5)]
+    made, landed, now = pool(1)
+    made.known({f"s{i}": ("127.0.0.1", each.port) for i, each in enumerate(parties)})
+    for i in range(5):
+        made.send(Hop(now, server=f"s{i}"))
+    endings = [(await landed.get()).ending for _ in range(5)]
+    assert endings.count(Ending.WITHHELD) == 1 and endings.count(Ending.ANSWERED) == 4
+    made.send(Hop(now, server="s4"))  # the one idle for longest makes room
+    assert (await landed.get()).ending is Ending.ANSWERED
+    for each in parties:
+        each.close()
+
+
+@on_loopback
+async def test_an_operation_that_may_have_run_is_not_sent_again_by_itself():
+    async with Site() as site:
+        for each in site.backends:
+            each.manner = "close"
+        assert (await site.ask("burn", "9"))[0] == 502 and len(site.sent("9")) == 1
+
+
+# ---- the counter
+
+
+@on_loopback
+async def test_each_ending_of_a_call_and_no_answer_for_another():
+    """An answer that comes too late is not taken for the next call's."""
+    async with Site() as site:
+        got = asyncio.Queue()
+        address = f"127.0.0.1:{site.till.port}"
+        calls = Calls(got.put_nowait, lambda text: None, Counter(), address, 250_000, 100_000)
+
+        async def tell(amount, manner):
+            site.till.manner = manner
+            calls.add(SimpleNamespace(), Add(7, amount, 45_000_000))
+            event = await got.get()
+            return event.ending.tally, event.total
+
+        assert await tell(2.0, "well") == (Tally.ADDED, 2.0)
+        assert site.till.seen[-1] == [b"INCRTTL", b"7", b"2.000000", b"45000"]
+        assert await tell(1.0, "busy") == (Tally.TURNED_AWAY, 0.0)
+        assert await tell(3.0, 0.4) == (Tally.SILENT, 0.0)
+        await asyncio.sleep(0.2)
+        assert await tell(-1.0, "well") == (Tally.ADDED, 4.0)
+        assert await tell(1.0, "close") == (Tally.SILENT, 0.0)
+        assert await tell(1.0, "silent") == (Tally.SILENT, 0.0)
+        assert await tell(1.0, "well") == (Tally.ADDED, 5.0)  # on a new connection
+        site.till.close()
+        await asyncio.sleep(0.01)
+        assert await tell(1.0, "well") == (Tally.TURNED_AWAY, 0.0)
+
+
+# ---- discovery
+
+
+@on_loopback
+async def test_the_watch_goes_on_and_a_server_that_leaves_gets_nothing_new():
+    async with Site() as site:
+        await asyncio.sleep(0.7)
+        paths = [path for path, _ in site.agent.calls]
+        assert len(paths) >= 3 and all("since=3&timeout_ms=4000" in path for path in paths)
+        site.agent.change(s0="terminating")
+        await until(lambda: list(site.service.host.pool.addresses) == ["s1"])
+        for i in range(20):
+            assert (await site.ask("burn", str(i)))[0] == 200
+        assert len(site.backends[0].seen) == 0 and len(site.backends[1].seen) == 20
+        site.agent.change(s0="in_service", s1="terminated")
+        await until(lambda: list(site.service.host.pool.addresses) == ["s0"])
+        assert (await site.ask("burn", "back"))[0] == 200 and len(site.backends[0].seen) == 1
+        before = len(site.agent.calls)
+        site.agent.shut()
+        await asyncio.sleep(0.18)
+        assert len(site.agent.calls) > before  # within 200 ms
+
+
+# ---- by chance
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_rules_hold_on_sockets_under_chance(seed):
+    asyncio.run(asyncio.wait_for(chance(Random(seed)), 30))
+
+
+async def chance(random):
+    async with Site(servers=4) as site:
+        loop, done = asyncio.get_running_loop(), {}
+        ways = ["well"] * 6 + [0.05, 0.2, "error", "full", "close", "short", "noise", "silent", "chunks"]
+        for each in site.backends:
+            each.manner = lambda: random.choice(ways)
+        site.till.manner = lambda: random.choice(["well"] * 6 + [0.04, "busy", "close"])
+
+        async def client(name):
+            on = None
+            for turn in range(14):
+                number, kind = f"{name}-{turn}", random.choice(["look", "file", "burn"])
+                on = on or await site.connect()
+                started, time_out = loop.time(), random.choice([0.1, 0.5, 0.9])
+
+                async def ask(*args, **more):
+                    return *await site.ask(*args, **more), loop.time()
+
+                asking = asyncio.create_task(ask(kind, number, on=on, timeout=str(time_out)))
+                if random.random() < 0.1:
+                    await asyncio.sleep(random.random() * 0.2)
+                    if not asking.done():
+                        asking.cancel()
+                        on[1].transport.abort()
+                        on, done[number] = None, (kind, None, loop.time())
+                        continue
+                status, headers, body, ended = await asyncio.wait_for(asking, 5)
+                assert ended - started < time_out + 0.3, "rule 1: answered late"
+                done[number] = kind, status, ended
+                assert status in (200, 429, 502) and body == (b"for " if status == 200 else b"")
+                if "connection" in headers:
+                    on = None
+
+        async def trouble():
+            for _ in range(25):
+                await asyncio.sleep(random.random() * 0.15)
+                party = random.choice([*site.backends, site.till, site.agent])
+                party.shut()
+                if random.random() < 0.3:
+                    states = ["in_service", "in_service", "terminating"]
+                    site.agent.change(**{f"s{random.randrange(4)}": random.choice(states)})
+
+        await asyncio.gather(trouble(), *(client(str(i)) for i in range(12)))
+        for number, (kind, status, ended) in done.items():
+            hops = site.sent(number)
+            assert all(hop[3] < ended + 0.3 for hop in hops), "rule 1: sent after its answer"
+            may_have_run = [hop for hop in hops if hop[4] != "full"]
+            if kind == "burn":
+                assert len(may_have_run) <= 1 and not (status == 429 and may_have_run), "rule 2"
+        statuses = Counter(status for _, status, _ in done.values())
+        assert statuses[200] > 60 and len(done) == 12 * 14
+        assert not site.service.host.owed and not site.service.counts["faults"]
+
+
+# ---- what is read at start, and said
+
+
+def test_settings_read_the_same_from_a_line_and_from_a_tree():
+    site = Site()
+    site.port, site.agent = 1, SimpleNamespace(port=1, told=lambda: {})
+    tree = start.flat(site.told()["settings"])
+    line = start.Fields({name: str(value).lower() if value in (True, False) else str(value)
+                         for name, value in tree.items()})
+    for read in (start.categories, start.plans, start.duties, start.leave, start.desk, start.lines):
+        assert read(tree) == read(line)
+    assert [each.name for each in start.categories(tree)] == ["look", "file", "burn"]
+    with pytest.raises(start.Malformed):
+        start.lines(start.flat({"Ceilings": {"DialTimeout": "soon"}}))
+
+
+def test_lines_are_so_many_a_second(capfd, monkeypatch):
+    now = [5.0]
+    monkeypatch.setattr("lapisgrade.net.log.time.monotonic", lambda: now[0])
+    log = Log("n0")
+    for i in range(LINES_A_SECOND + 7):
+        log.say(f"line {i}")
+    now[0] = 6.0
+    log.say("after")
+    said = capfd.readouterr().err.splitlines()
+    assert len(said) == LINES_A_SECOND + 2 and "7 lines left out" in said[-2]
