--- a/lapisgrade/net/counter.py
+++ b/lapisgrade/net/counter.py
@@ -9,7 +9,7 @@
 from lapisgrade.interface import Add
 from lapisgrade.net.ending import Ending
 from lapisgrade.net.events import Counted, Event
-from lapisgrade.net.http import CHUNK, steady
+from lapisgrade.net.http import CHUNK, late, stale, steady
 
 SECOND = 1_000_000  # us
 
@@ -37,6 +37,7 @@
         host, _, port = address.rpartition(":")
         self._address = (host, int(port or 0))
         self._patience, self._dial = time_out_us / SECOND, dial_us / SECOND
+        self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
         self._runs: asyncio.Task | None = None
         self._waiting: deque[Call] = deque()  # for the connection
@@ -53,6 +54,8 @@
         if self._writer is not None and self._out and loop.time() - self._heard > self._dial:
             self._writer.transport.abort()  # guards against a peer that has vanished
             self._lost(Ending.BROKEN)
+        elif self._writer is not None and not self._out and stale(self._reader, self._writer):
+            self._lost(Ending.IDLE)
         if self._writer is not None:
             self._write(call)
         else:
@@ -85,7 +88,7 @@
             late = isinstance(wrong, TimeoutError)
             return self._lost(Ending.NEVER_UP if late else Ending.REFUSED)
         steady(writer)
-        self._writer, self._buffer = writer, b""
+        self._reader, self._writer, self._buffer = reader, writer, b""
         while self._waiting:
             call = self._waiting.popleft()
             if call.task is not None:  # one that was given up must not be written any more
@@ -118,7 +121,7 @@
             call.task = None
 
     def _overdue(self, call: Call) -> None:
-        self._end(call, Ending.OVERDUE if call.written else Ending.WITHHELD)
+        late(lambda: self._end(call, Ending.OVERDUE if call.written else Ending.WITHHELD))
 
     def _feed(self, chunk: bytes) -> None:
         """Answers, each one line or, for a bulk string, two."""
--- a/lapisgrade/net/hops.py
+++ b/lapisgrade/net/hops.py
@@ -1,7 +1,6 @@
 """Hops on connections to servers, and the pool of these."""
 
 import asyncio
-import select
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
@@ -11,7 +10,7 @@
 from lapisgrade.interface import Lines
 from lapisgrade.net.ending import Ending
 from lapisgrade.net.events import Asked, Event, Landed
-from lapisgrade.net.http import CHUNK, Garbled, Message, Parser, steady
+from lapisgrade.net.http import CHUNK, Garbled, Message, Parser, late, stale, steady
 
 SECOND = 1_000_000  # us
 
@@ -46,25 +45,19 @@
         pool.counts["server connections"] += 1
         steady(self._writer)
         self._writer.transport.set_write_buffer_limits(0)
-        self._write()
         try:
+            self._write()
             while chunk := await self._reader.read(CHUNK):
                 self._feed(chunk)
             if self.hop is not None and not self._unwritten:
                 self._feed(b"")  # an answer may end with its connection
         except OSError:
             pass
-        self.end(Ending.UNWRITTEN if self._unwritten else Ending.BROKEN)
+        finally:
+            self.end(Ending.UNWRITTEN if self._unwritten else Ending.BROKEN)
 
     def usable(self) -> bool:
-        """Whether the other side has left it open, as far as this machine knows by now.
-
-        What is written to a connection that was closed ends as broken, and may not be sent again (guards
-        operations that must not repeat).
-        """
-        if self._writer.is_closing() or self._reader.at_eof() or not self._current():
-            return False
-        return not select.select([self._writer.get_extra_info("socket")], [], [], 0)[0]
+        return self._current() and not stale(self._reader, self._writer)
 
     def _current(self) -> bool:
         return self._pool.addresses.get(self.server) == self._address
@@ -108,6 +101,7 @@
         if self.hop is None:
             self.end(Ending.IDLE)  # nothing was asked
             return
+        self._pool.heard[self.server] = self._pool.now()
         try:
             message = self._parser.feed(chunk)
         except Garbled as wrong:
@@ -125,7 +119,8 @@
                 self._pool.keep(self)
 
     def _overdue(self) -> None:
-        self.end(Ending.OVERDUE)
+        hop = self.hop
+        late(lambda: self.end(Ending.OVERDUE) if self.hop is hop else None)
 
     def end(self, ending: Ending) -> None:
         """Close, and tell how the hop ended if one is out."""
@@ -136,6 +131,8 @@
             if ending is Ending.CALLED_OFF and self._writer is None:
                 ending = Ending.WITHHELD
             self._pool.landed(hop, ending, None)
+            if ending in (Ending.OVERDUE, Ending.CALLED_OFF):
+                self._pool.doubt(hop)
         if self._writer is not None:
             self._writer.transport.abort()
         elif self._task is not asyncio.current_task():
@@ -155,6 +152,8 @@
         self._links: dict[Any, Link] = {}  # by the hop that is out
         self._idle: dict[str, list[Link]] = {}  # by server; the one idle for longest first
         self._open = 0
+        self._sweeps = False
+        self.heard: dict[str, int] = {}  # when anything last came, by server
 
     def timer(self, at_us: int, call: Callable[[], None]) -> asyncio.TimerHandle:
         return asyncio.get_running_loop().call_later(max(0, at_us - self.now()) / SECOND, call)
@@ -164,7 +163,6 @@
         server = hop.server.address
         self.counts["hops"] += 1
         idle = self._idle.get(server, [])
-        self._close_stale(idle)
         while idle and not idle[-1].usable():
             idle[-1].end(Ending.IDLE)
         if idle:
@@ -191,7 +189,17 @@
         link.idle_from = self.now()
         idle = self._idle.setdefault(link.server, [])
         idle.append(link)
-        self._close_stale(idle)
+        if not self._sweeps:
+            self._sweep()
+
+    def doubt(self, hop: Any) -> None:
+        """Nothing has come from a server for as long as a hop was out there: it may have vanished. The next
+        one shows it by a connection that does not come up, and then has surely not run; on an idle one it
+        might have, for all that we know (guards operations that must not repeat)."""
+        server = hop.server.address
+        if self.heard.get(server, 0) < hop.sent:
+            for link in list(self._idle.get(server, [])):
+                link.end(Ending.IDLE)
 
     def forget(self, link: Link) -> None:
         if not link.closed:
@@ -229,6 +237,15 @@
         while idle and idle[0].idle_from < oldest:
             idle[0].end(Ending.IDLE)
 
+    def _sweep(self) -> None:
+        """Close what has stood idle for long, and come back when the next one has."""
+        for idle in self._idle.values():
+            self._close_stale(idle)
+        fronts = [idle[0].idle_from for idle in self._idle.values() if idle]
+        self._sweeps = bool(fronts)
+        if fronts:
+            self.timer(min(fronts) + self.lines.idle_us - self.lines.dial_us, self._sweep)
+
 
 def told(message: Message) -> Ending:
     """What a server's whole answer says."""
--- a/lapisgrade/net/host.py
+++ b/lapisgrade/net/host.py
@@ -14,6 +14,7 @@
 from lapisgrade.net import counter, front, hops
 from lapisgrade.net.ending import Ending
 from lapisgrade.net.events import Asked, Counted, Event, Landed, Left, News, Taken, Tick
+from lapisgrade.net.http import late
 from lapisgrade.start import Fields
 
 SECOND = 1_000_000  # us
@@ -64,7 +65,6 @@
             event = await self._queue.get()
             self.clock.now_us = max(self.clock.now_us, self.now())
             try:
-                self.engine.time()
                 bring[type(event)](event)
             except Exception:
                 self._say(f"on {type(event).__name__}: {traceback.format_exc()}")
@@ -140,4 +140,5 @@
 
     def wake_at(self, when_us: int) -> None:
         self._due = when_us
-        asyncio.get_running_loop().call_later(max(0, when_us - self.now()) / SECOND, self.put, Tick(when_us))
+        delay = max(0, when_us - self.now()) / SECOND
+        asyncio.get_running_loop().call_later(delay, late, lambda: self.put(Tick(when_us)))
--- a/lapisgrade/net/http.py
+++ b/lapisgrade/net/http.py
@@ -1,6 +1,8 @@
 """Cuts HTTP messages out of what a connection brings. h11 parses; bodies stay slices of what was read."""
 
 import asyncio
+import select
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import h11
@@ -16,6 +18,22 @@
     writer.transport.max_size = CHUNK
 
 
+def stale(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+    """Whether the other side has closed a connection on which nothing is due, as far as this machine knows.
+
+    What is written to it then may have run, for all that we know (guards operations that must not repeat, and
+    counts that must not be added twice).
+    """
+    if writer.is_closing() or reader.at_eof():
+        return True
+    return bool(select.select([writer.get_extra_info("socket")], [], [], 0)[0])
+
+
+def late(call: Callable[[], None]) -> None:
+    """Carry out a time-out, but after all that has come by now (guards against our own sleep)."""
+    asyncio.get_running_loop().call_soon(call)
+
+
 class Garbled(Exception):
     """What came is not the protocol; `status` is what a client is told."""
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,6 +5,7 @@
 import heapq
 import json
 import socket
+import time
 from random import Random
 
 from lapisgrade.decide import Limiter
@@ -233,7 +234,7 @@
     """Whoever listens: `manner` says how it behaves, for each message or for all."""
 
     def __init__(self, manner="well"):
-        self.manner, self.seen, self.writers, self.port = manner, [], [], 0
+        self.manner, self.seen, self.writers, self.port, self.asleep = manner, [], [], 0, 0.0
 
     async def open(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -249,6 +250,11 @@
             pass
         writer.transport.abort()
 
+    def sleep(self):
+        """Keep this process from looking at its sockets, once."""
+        asleep, self.asleep = self.asleep, 0.0
+        time.sleep(asleep)
+
     def shut(self):
         """Close every connection, as a process that dies does."""
         for writer in self.writers:
@@ -290,6 +296,7 @@
         if answer is None:  # silent
             await asyncio.sleep(30)
         writer.write(answer)
+        self.sleep()
         await writer.drain()
         return how not in ("short", "end", "close")
 
@@ -319,8 +326,9 @@
             self.counts[name] = self.counts.get(name, 0.0) + amount
             total = b"%.3f" % self.counts[name]
             for part in (b"$%d\r" % len(total), b"\n" + total[:1], total[1:] + b"\r\n"):
-                writer.write(part)
                 await asyncio.sleep(0)
+                writer.write(part)
+            self.sleep()
         return how != "close"
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -208,7 +208,7 @@
     def __init__(self, now, body=b"x", server="s", lasts=0.5):
         asked = Asked(object(), b"POST", b"/api", b"h", b"1", None, [body])
         self.operation = SimpleNamespace(handle=asked, ends_us=now() + int(lasts * SECOND))
-        self.server = SimpleNamespace(address=server)
+        self.server, self.sent = SimpleNamespace(address=server), now()
 
 
 def pool(port, dial=1.0, idle=30.0):
@@ -296,6 +296,7 @@
         made.send(Hop(now))
         assert (await landed.get()).ending is Ending.ANSWERED
         assert made.counts["server connections"] == connections
+    await until(backend.writers[0].is_closing)  # by us, with nothing more to send
     backend.shut()
     await asyncio.sleep(0)  # it is closed, and its end is not yet read
     made.send(Hop(now))
@@ -303,6 +304,41 @@
     backend.close()
 
 
+@on_loopback
+async def test_a_silent_server_must_take_a_new_connection_first():
+    backend = await Backend(0.1).open()
+    made, landed, now = pool(backend.port)
+    for _ in range(2):
+        made.send(Hop(now))
+    assert {(await landed.get()).ending for _ in range(2)} == {Ending.ANSWERED}
+    backend.manner = "silent"
+    made.send(Hop(now, lasts=0.2))
+    assert (await landed.get()).ending is Ending.OVERDUE
+    backend.manner = "well"
+    made.send(Hop(now))
+    assert (await landed.get()).ending is Ending.ANSWERED and made.counts["server connections"] == 3
+    backend.close()
+
+
+@on_loopback
+async def test_what_came_while_we_slept_is_not_overdue():
+    async with Site() as site:
+        got, landed = asyncio.Queue(), asyncio.Queue()
+        address = f"127.0.0.1:{site.till.port}"
+        calls = Calls(got.put_nowait, lambda text: None, Counter(), address, 100_000, 100_000)
+        made, landed, now = pool(site.backends[0].port)
+        for _ in range(2):  # the first ones open the connections
+            calls.add(SimpleNamespace(), Add(7, 1.0, 45_000_000))
+            made.send(Hop(now, lasts=0.2))
+            assert (await got.get()).ending is Ending.ANSWERED
+            assert (await landed.get()).ending is Ending.ANSWERED
+        site.till.asleep = site.backends[0].asleep = 0.4  # each answers, and we do not look for so long
+        calls.add(SimpleNamespace(), Add(7, 1.0, 45_000_000))
+        assert (await got.get()).ending is Ending.ANSWERED
+        made.send(Hop(now, lasts=0.2))
+        assert (await landed.get()).ending is Ending.ANSWERED
+
+
 @on_loopback
 async def test_a_request_half_written_has_not_run():
     """A server that stops reading and dies: the last byte never left this machine."""
