--- a/lapisgrade/net/discovery.py
+++ b/lapisgrade/net/discovery.py
@@ -78,9 +78,12 @@
                     raise Garbled("the connection ended")
         if message.head.status_code != 200:
             raise Garbled(f"status {message.head.status_code}")
-        self.take(json.loads(b"".join(message.body)))
+        told = json.loads(b"".join(message.body))
+        self.take(told)
         if message.last:
             raise Garbled("the agent closed the connection")
+        if not told["instances"]:
+            await asyncio.sleep(RENEW / 2)  # guards against an agent that has nothing new and says so at once
 
     def _entry(self, row: Fields) -> Entry:
         started_ms = row.number("startedAtMs")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -351,13 +351,14 @@
     async def turn(self, reader, writer):
         first, _, _ = await heard(reader)
         self.calls.append((first.split(" ")[1], asyncio.get_running_loop().time()))
-        if "since=" in first and f"since={self.generation}&" in first:
+        if self.manner == "well" and f"since={self.generation}&" in first:
             self.changed.clear()
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.changed.wait(), 0.3)
         if self.manner == "silent":
             await asyncio.sleep(30)
-        body = json.dumps(self.told(False)).encode()
+        told = {**self.told(False), "instances": []} if self.manner == "hasty" else self.told(False)
+        body = json.dumps(told).encode()
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
         return True
 
