Idle connections are let go only after a silence as long as a connection may take

Read through: a client that leaves a moment after its hop was sent would have cost all idle connections to that server.

--- a/lapisgrade/net/counter.py
+++ b/lapisgrade/net/counter.py
@@ -85,8 +85,8 @@
                 reader, writer = await asyncio.open_connection(*self._address)
         except (OSError, TimeoutError) as wrong:
             self._runs = None
-            late = isinstance(wrong, TimeoutError)
-            return self._lost(Ending.NEVER_UP if late else Ending.REFUSED)
+            never = isinstance(wrong, TimeoutError)
+            return self._lost(Ending.NEVER_UP if never else Ending.REFUSED)
         steady(writer)
         self._reader, self._writer, self._buffer = reader, writer, b""
         while self._waiting:
--- a/lapisgrade/net/front.py
+++ b/lapisgrade/net/front.py
@@ -39,12 +39,13 @@
                 self._feed(chunk)
         except OSError:
             pass  # it was reset: the client has gone
-        if self.operation is not None:
-            self._front.put(Left(self.operation))
-            self.operation.handle.client = self.operation = None
-        self._whole()
-        self._writer.close()
-        self._front.forget(self)
+        finally:
+            if self.operation is not None:
+                self._front.put(Left(self.operation))
+                self.operation.handle.client = self.operation = None
+            self._whole()
+            self._writer.close()
+            self._front.forget(self)
 
     def close(self) -> None:
         """Close once all that was written is out; `read` ends then."""
--- a/lapisgrade/net/hops.py
+++ b/lapisgrade/net/hops.py
@@ -78,7 +78,7 @@
         left = max(1, hop.operation.ends_us - pool.now()) / SECOND
         size = sum(len(each) for each in asked.body)
         self._writer.writelines([
-            b"%b %b HTTP/1.1\r\nHost: %b\r\nX-Request-ID: %b\r\nX-Timeout: %.3f\r\n%b%b\r\n" % (
+            b"%b %b HTTP/1.1\r\nHost: %b\r\nX-Request-ID: %b\r\nX-Timeout: %.6f\r\n%b%b\r\n" % (
                 asked.method, asked.target, asked.host, asked.request_id, left,
                 b"Idempotency-Key: %b\r\n" % asked.key if asked.key is not None else b"",
                 b"Content-Length: %d\r\n" % size if size or asked.method != b"GET" else b"",
@@ -193,11 +193,13 @@
             self._sweep()
 
     def doubt(self, hop: Any) -> None:
-        """Nothing has come from a server for as long as a hop was out there: it may have vanished. The next
-        one shows it by a connection that does not come up, and then has surely not run; on an idle one it
-        might have, for all that we know (guards operations that must not repeat)."""
+        """Let go of the idle connections to a server that was silent all the while that a hop was out there.
+
+        It may have vanished. The next hop shows it by a connection that does not come up, and then has surely
+        not run; on an idle one it might have, for all that we know (guards operations that must not repeat).
+        """
         server = hop.server.address
-        if self.heard.get(server, 0) < hop.sent:
+        if self.heard.get(server, 0) < hop.sent < self.now() - self.lines.dial_us:
             for link in list(self._idle.get(server, [])):
                 link.end(Ending.IDLE)
 
