Answers are read without a request passed through h11 first

Seen: a bare request went through h11 before each answer, as h11 was thought to need one; it does only for 1xx. Measured on its own: 64 us an answer in place of 94.

--- a/lapisgrade/net/http.py
+++ b/lapisgrade/net/http.py
@@ -1,6 +1,7 @@
 """Cuts HTTP messages out of what a connection brings. h11 parses; bodies stay slices of what was read."""
 
 import asyncio
+import re
 import select
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -9,8 +10,10 @@
 
 CHUNK = 16_384  # bytes asked for in one read; most messages are far smaller
 MOST_BODY = 65_536  # bytes; the protocol's
-# h11 reads an answer only after a request has passed through it; this one tells it all that it needs.
+# h11 takes an answer also where no request has passed through it, but none that only announces another (1xx).
+# A bare request before those is all that it needs; without one, an answer costs a third less to read.
 _PRIMER = h11.Request(method=b"GET", target=b"/", headers=[(b"Host", b"-")])
+_FINAL = re.compile(rb"HTTP/1\.[01] [2-9]")
 
 
 def steady(writer: asyncio.StreamWriter) -> None:
@@ -59,13 +62,11 @@
 class Parser:
     """Takes in what is read until one message is whole; a message has a parser of its own."""
 
-    __slots__ = ("_body", "_head", "_machine", "_size")
+    __slots__ = ("_bare", "_body", "_head", "_machine", "_size")
 
     def __init__(self, role: type) -> None:
         self._machine = h11.Connection(role)
-        if role is h11.CLIENT:
-            self._machine.send(_PRIMER)
-            self._machine.send(h11.EndOfMessage())
+        self._bare = role is h11.CLIENT
         self._head: h11.Request | h11.Response | None = None
         self._body: list[memoryview | bytes] = []
         self._size = 0
@@ -73,6 +74,11 @@
     def feed(self, chunk: bytes) -> Message | None:
         """Take in one read, empty at the end of the stream; the message, once it is whole."""
         machine = self._machine
+        if self._bare:
+            self._bare = False
+            if not _FINAL.match(chunk):
+                machine.send(_PRIMER)
+                machine.send(h11.EndOfMessage())
         try:
             machine.receive_data(chunk)
             while True:
@@ -96,9 +102,6 @@
         """Whether the other side waits for our word before it sends the body."""
         return self._machine.they_are_waiting_for_100_continue
 
-    def begun(self) -> bool:
-        return self._head is not None or bool(self._machine.trailing_data[0])
-
     def _keep(self, chunk: bytes, data: bytes) -> None:
         """Keep a piece of the body: the slice of the read that h11 has just passed over."""
         size = len(data)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -283,6 +283,8 @@
             "well": f"HTTP/1.1 200 OK\r\nContent-Length: {len(body) + 4}\r\n\r\nfor ".encode() + body,
             "chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfor \r\n"
             + (b"%x\r\n%b\r\n" % (len(body), body) if body else b"") + b"0\r\n\r\n",
+            "early": b"HTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\n"
+            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\nfor %b" % (len(body) + 4, body),
             "end": b"HTTP/1.1 200 OK\r\n\r\nfor " + body,
             "short": b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\nfor ",
             "error": b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n",
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -49,7 +49,7 @@
     async with Site(servers=1) as site:
         on = await site.connect()
         body = bytes(range(256)) * 200
-        for number, manner in enumerate(["well", "chunks", "end", "well"]):
+        for number, manner in enumerate(["well", "chunks", "early", "end", "well"]):
             site.backends[0].manner = manner
             status, _, answer = await site.ask("file", str(number), body, on=on, path="/api/a?b=c%20d")
             assert (status, answer) == (200, b"for " + body), manner
