At its end a limiter does not wait for connections that ask nothing

Read through: a connection opened after the idle ones were closed, with no request on it, kept the process until it was killed. At fault: Service.run, which closed the idle ones once. Now at each look, those idle since the look before, so that one just accepted has the time to bring its request. Tested; the test fails without the line.

--- a/lapisgrade/net/front.py
+++ b/lapisgrade/net/front.py
@@ -145,6 +145,7 @@
         self._plans = {each.name.encode(): each for each in plans}
         self.clients: dict[Client, None] = {}
         self.idle: dict[Client, None] = {}  # with no operation; the one idle for longest first
+        self._were_idle: list[Client] = []
         self.patience = max((each.hard_stop_us for each in categories), default=SECOND) / SECOND
         self.closing = False  # each answer is its connection's last from now on
         self._server: asyncio.Server | None = None
@@ -171,10 +172,12 @@
         self.idle.pop(client, None)
 
     def close_idle(self) -> None:
-        """From now on connections end with their answers; those with no operation end now."""
+        """From now on connections end with their answers; those idle since the last such call end now."""
         self.closing = True
-        for client in list(self.idle):
-            client.close()
+        for client in self._were_idle:
+            if client in self.idle:
+                client.close()
+        self._were_idle = list(self.idle)
 
     def close(self) -> None:
         """The end: no new connections, and none that is left goes on."""
--- a/lapisgrade/net/service.py
+++ b/lapisgrade/net/service.py
@@ -71,6 +71,7 @@
             self._front.close_idle()
             while self._front.clients or self.host.owed:
                 await asyncio.sleep(LOOK)
+                self._front.close_idle()
         finally:
             for task in tasks:
                 task.cancel()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -165,7 +165,9 @@
         await asyncio.sleep(0.1)
         late = asyncio.create_task(site.ask("burn", "2"))  # still comes, on a new connection
         assert (await site.ask("look", "3", on=idle, timeout="0.1"))[0] == 502  # or on one that was kept
-        assert (await asked)[0] == 200 and (await late)[0] == 200
+        assert (await asked)[0] == 200
+        await site.connect()  # and asks nothing: it is not waited for
+        assert (await late)[0] == 200
         assert (await late)[1]["connection"] == "close" and await idle[0].read() == b""
         await asyncio.wait_for(site.run, 1)
 
