Clients' connections end by the same type; counters tell how

Ending.LEFT stood unused: how a client's connection ends is now one Ending too, counted as 'clients ...'. SECOND has one place in net. A test that held no reference to its silent connection let it be collected, and so saw it leave; mended.

--- a/lapisgrade/net/counter.py
+++ b/lapisgrade/net/counter.py
@@ -7,12 +7,11 @@
 
 from lapisgrade.engine import Task
 from lapisgrade.interface import Add
+from lapisgrade.net import SECOND
 from lapisgrade.net.ending import Ending
 from lapisgrade.net.events import Counted, Event
 from lapisgrade.net.http import CHUNK, late, stale, steady
 
-SECOND = 1_000_000  # us
-
 
 class Call:
     """One call; `task` is None once its end has been told, as when its answer comes too late."""
--- a/lapisgrade/net/front.py
+++ b/lapisgrade/net/front.py
@@ -9,11 +9,12 @@
 import h11
 
 from lapisgrade.interface import Answer, Category, Operation, Plan, Repeat, Verdict
+from lapisgrade.net import SECOND
+from lapisgrade.net.ending import Ending
 from lapisgrade.net.events import Asked, Event, Left, Taken
 from lapisgrade.net.http import CHUNK, MOST_BODY, Garbled, Message, Parser, steady
 from lapisgrade.start import Fields, Malformed
 
-SECOND = 1_000_000  # us
 _REASONS = {each.value: each.phrase.encode() for each in HTTPStatus}
 _CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
 
@@ -21,7 +22,9 @@
 class Client:
     """One client's connection; it carries one operation at a time."""
 
-    __slots__ = ("_early", "_front", "_last", "_parser", "_timer", "_writer", "operation", "unwanted")
+    __slots__ = (
+        "_early", "_front", "_last", "_parser", "_timer", "_writer", "ending", "operation", "unwanted",
+    )
 
     def __init__(self, front: "Front", writer: asyncio.StreamWriter) -> None:
         self._front, self._writer = front, writer
@@ -30,6 +33,7 @@
         self._last = False  # the request under way is the connection's last
         self._timer: asyncio.TimerHandle | None = None  # runs while a request has come in part
         self.operation: Operation | None = None
+        self.ending = Ending.LEFT  # how the connection ends, where we don't end it
         self.unwanted = False  # its request is turned back unread: there are too many connections
 
     async def read(self, reader: asyncio.StreamReader) -> None:
@@ -46,18 +50,24 @@
             self._whole()
             self._writer.close()
             self._front.forget(self)
+            self._front.counts[f"clients {self.ending.value}"] += 1
 
-    def close(self) -> None:
+    def close(self, ending: Ending) -> None:
         """Close once all that was written is out; `read` ends then."""
+        self.ending = ending
         self._front.idle.pop(self, None)
         self._writer.close()
 
-    def abort(self) -> None:
+    def abort(self, ending: Ending) -> None:
         """Close at once, also where what was written can't go out (guards descriptors against lost peers)."""
+        self.ending = ending
         self._front.idle.pop(self, None)
         self._writer.transport.abort()
 
-    def reply(self, status: int, body: list, size: int, more: bytes = b"", last: bool = False) -> None:
+    def reply(
+        self, status: int, body: list, size: int, more: bytes = b"", last: bool = False,
+        ending: Ending = Ending.ANSWERED,
+    ) -> None:
         last = last or self._front.closing
         close = b"Connection: close\r\n" if last else b""
         head = b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n%b%b\r\n" % (
@@ -65,7 +75,7 @@
         self._writer.writelines([head, *body])
         self._front.counts[f"answered {status}"] += 1
         if last:
-            self.close()
+            self.close(ending)
 
     def answer(self, status: int, body: list, size: int, more: bytes = b"") -> None:
         """The final answer to the operation under way."""
@@ -90,13 +100,13 @@
     def _too_slow(self) -> None:
         """The rest of a request never came (guards descriptors against peers that vanish half way)."""
         self._timer = None
-        self.reply(408, [], 0, last=True)
+        self.reply(408, [], 0, last=True, ending=Ending.OVERDUE)
 
     def _feed(self, chunk: bytes) -> None:
         if self.operation is not None:
             self._early += chunk
             if len(self._early) > 2 * MOST_BODY:
-                self.abort()  # `read` sees the end, and says that it left
+                self.abort(Ending.GARBLED)  # `read` sees the end, and says that it left
             return
         if self._writer.is_closing():
             return
@@ -108,7 +118,7 @@
                 return
         except Garbled as wrong:
             self._front.say(f"a request was answered {wrong.status}: {wrong}")
-            self.reply(wrong.status, [], 0, last=True)
+            self.reply(wrong.status, [], 0, last=True, ending=Ending.GARBLED)
             return
         self._front.idle.pop(self, None)
         if self._timer is None:
@@ -123,7 +133,7 @@
             self._next(message.rest)
             return
         if self.unwanted:
-            self.reply(503, [], 0, last=True)
+            self.reply(503, [], 0, last=True, ending=Ending.TURNED_AWAY)
             return
         self.operation = front.operation(self, message)
         self._early, self._last = message.rest, message.last
@@ -164,7 +174,7 @@
             if oldest is client:
                 client.unwanted = True
             else:
-                oldest.abort()
+                oldest.abort(Ending.IDLE)
         await client.read(reader)
 
     def forget(self, client: Client) -> None:
@@ -176,14 +186,14 @@
         self.closing = True
         for client in self._were_idle:
             if client in self.idle:
-                client.close()
+                client.close(Ending.IDLE)
         self._were_idle = list(self.idle)
 
     def close(self) -> None:
         """The end: no new connections, and none that is left goes on."""
         self._server.close()
         for client in list(self.clients):
-            client.abort()
+            client.abort(Ending.CALLED_OFF)
 
     def operation(self, client: Client, message: Message) -> Operation:
         """The operation that a request stands for; Garbled, where it stands for none."""
--- a/lapisgrade/net/hops.py
+++ b/lapisgrade/net/hops.py
@@ -8,12 +8,11 @@
 import h11
 
 from lapisgrade.interface import Lines
+from lapisgrade.net import SECOND
 from lapisgrade.net.ending import Ending
 from lapisgrade.net.events import Asked, Event, Landed
 from lapisgrade.net.http import CHUNK, Garbled, Message, Parser, late, stale, steady
 
-SECOND = 1_000_000  # us
-
 
 class Link:
     """One connection to one server, with one hop on it at most."""
--- a/lapisgrade/net/host.py
+++ b/lapisgrade/net/host.py
@@ -11,14 +11,12 @@
 from lapisgrade.decide import Limiter
 from lapisgrade.engine import Engine, Task
 from lapisgrade.interface import Add, Answer, Clock, Operation, Report, Total, Verdict, Word
-from lapisgrade.net import counter, front, hops
+from lapisgrade.net import SECOND, counter, front, hops
 from lapisgrade.net.ending import Ending
 from lapisgrade.net.events import Asked, Counted, Event, Landed, Left, News, Taken, Tick
 from lapisgrade.net.http import late
 from lapisgrade.start import Fields
 
-SECOND = 1_000_000  # us
-
 
 def wall() -> Callable[[], int]:
     """Unix time in us, read once and then carried on by a clock that never steps."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -166,10 +166,14 @@
         late = asyncio.create_task(site.ask("burn", "2"))  # still comes, on a new connection
         assert (await site.ask("look", "3", on=idle, timeout="0.1"))[0] == 502  # or on one that was kept
         assert (await asked)[0] == 200
-        await site.connect()  # and asks nothing: it is not waited for
+        silent = await site.connect()  # and asks nothing: it is not waited for
         assert (await late)[0] == 200
         assert (await late)[1]["connection"] == "close" and await idle[0].read() == b""
         await asyncio.wait_for(site.run, 1)
+        assert await silent[0].read() == b""
+        ends = {name: n for name, n in site.service.counts.items() if name.startswith("clients ")}
+        # The first asked whether it is up; the others by their answers, or as idle.
+        assert ends == {"clients connected": 5, "clients left": 1, "clients answered": 2, "clients idle": 2}
 
 
 def test_as_a_process_it_says_what_is_wrong_and_prints_its_counters(tmp_path):
