SIGHUP moves discovery and counter to new addresses under open work

Checked: no handler for SIGHUP in net/service.py serve(); exit 129 is the signal's default. Ruled out: a fault of the reading of the file, which never took place. Now: a second watch begins at the new agent and the old one goes on until the new has told its whole list; calls written to the old counter are answered there, later ones go to the new address. A file that can't be read changes nothing. With it, as it is the same code: a counter's total is a plain finite number or the connection is given up (float() took nan; int() took any size), and discovery's answers are judged whole before any of it acts (an OverflowError or TypeError ended the watch for good). Tests: a reload under open work, a reload as a process, spoilt answers of the counter; each fails without.

--- a/lapisgrade/__main__.py
+++ b/lapisgrade/__main__.py
@@ -6,16 +6,15 @@
 import sys
 
 from lapisgrade.net import loop
-from lapisgrade.net.service import read, serve
+from lapisgrade.net.service import serve
 from lapisgrade.start import Malformed
 
 
 def main() -> int:
     try:
-        told = read(os.environ.get("ROUTER_CONFIG", ""))
         gc.freeze()
         with asyncio.Runner(loop_factory=loop.new) as runner:
-            runner.run(serve(told))
+            runner.run(serve(os.environ.get("ROUTER_CONFIG", "")))
     except Malformed as wrong:
         print(f"the configuration: {wrong}", file=sys.stderr)
         return 2
--- a/lapisgrade/net/counter.py
+++ b/lapisgrade/net/counter.py
@@ -1,6 +1,8 @@
 """Calls to the counter, in RESP2, one behind another on one connection."""
 
 import asyncio
+import math
+import re
 from collections import Counter as Counts
 from collections import deque
 from collections.abc import Callable
@@ -10,7 +12,14 @@
 from lapisgrade.net import SECOND
 from lapisgrade.net.ending import Ending
 from lapisgrade.net.events import Counted, Event
-from lapisgrade.net.http import CHUNK, late, stale, steady
+from lapisgrade.net.http import CHUNK, Garbled, late, stale, steady
+
+# A whole answer, and what may yet become one. A total that can be read is true; anything else tells nothing.
+_ANSWER = re.compile(
+    rb"\$(?P<size>\d{1,2})\r\n(?P<total>[-+]?(?:\d+\.?\d*|\.\d+)(?:[eE][-+]?\d{1,3})?)\r\n"
+    rb"|-(?P<error>[^\r\n]{1,256})\r\n"
+)
+_BEGUN = re.compile(rb"(?:\$(?:\d{1,2}(?:\r(?:\n(?:[-+.\deE]{1,64}\r?)?)?)?)?|-[^\r\n]{0,256}\r?)?")
 
 
 class Call:
@@ -25,128 +34,165 @@
         self.written = False
 
 
-class Counter:
-    """The counter service; answers come in the order of the calls, late ones too."""
+class Line:
+    """One connection to the counter: the calls that wait for it to come up, and those written on it."""
 
-    def __init__(
-        self, put: Callable[[Event], None], say: Callable[[str], None], counts: Counts[str],
-        address: str, time_out_us: int, dial_us: int,
-    ) -> None:
-        self._put, self._say, self._counts = put, say, counts
-        host, _, port = address.rpartition(":")
-        self._address = (host, int(port or 0))
-        self._patience, self._dial = time_out_us / SECOND, dial_us / SECOND
+    __slots__ = (
+        "_address", "_buffer", "_desk", "_heard", "_reader", "_task", "_writer", "out", "waiting",
+    )
+
+    def __init__(self, desk: "Counter", address: tuple[str, int]) -> None:
+        self._desk, self._address = desk, address
+        self.waiting: deque[Call] = deque()
+        self.out: deque[Call] = deque()  # written, not answered
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
-        self._runs: asyncio.Task | None = None
-        self._waiting: deque[Call] = deque()  # for the connection
-        self._out: deque[Call] = deque()  # written, not answered
-        self._heard = 0.0  # when the connection last brought something, or had nothing to bring
+        self._heard = 0.0  # when it last brought something, or had nothing to bring
         self._buffer = b""
-
-    def add(self, task: Task, add: Add) -> None:
-        words = [b"INCRTTL", b"%d" % add.name, b"%.6f" % add.amount, b"%d" % max(1, add.life_us // 1000)]
-        call = Call(task, b"*4\r\n" + b"".join(b"$%d\r\n%b\r\n" % (len(each), each) for each in words))
-        loop = asyncio.get_running_loop()
-        call.timer = loop.call_later(self._patience, self._overdue, call)
-        self._counts["counter calls"] += 1
-        if self._writer is not None and self._out and loop.time() - self._heard > self._dial:
-            self._writer.transport.abort()  # guards against a peer that has vanished
-            self._lost(Ending.BROKEN)
-        elif self._writer is not None and not self._out and stale(self._reader, self._writer):
-            self._lost(Ending.IDLE)
-        if self._writer is not None:
-            self._write(call)
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def usable(self) -> bool:
+        """Whether a further call may go out on it; one that can't be used is let go of."""
+        if self._writer is None:
+            return True
+        if self.out and asyncio.get_running_loop().time() - self._heard > self._desk.dial:
+            self.end(Ending.BROKEN)  # guards against a peer that has vanished
+        elif not self.out and stale(self._reader, self._writer):
+            self.end(Ending.IDLE)
         else:
-            self._waiting.append(call)
-            if self._runs is None:
-                self._runs = loop.create_task(self._run())
-
-    def close(self) -> None:
-        """The end: no call goes out any more."""
-        if self._runs is not None:
-            self._runs.cancel()
-        if self._writer is not None:
-            self._writer.transport.abort()
-
-    def _write(self, call: Call) -> None:
-        if not self._out:
+            return True
+        return False
+
+    def add(self, call: Call) -> None:
+        if self._writer is None:
+            self.waiting.append(call)
+            return
+        if not self.out:
             self._heard = asyncio.get_running_loop().time()
-        self._out.append(call)
+        self.out.append(call)
         call.written = True
         self._writer.write(call.words)
 
     async def _run(self) -> None:
-        """One life of the connection."""
-        writer = None
         try:
-            async with asyncio.timeout(self._dial):
+            async with asyncio.timeout(self._desk.dial):
                 reader, writer = await asyncio.open_connection(*self._address)
-        except (OSError, TimeoutError) as wrong:
-            self._runs = None
-            never = isinstance(wrong, TimeoutError)
-            return self._lost(Ending.NEVER_UP if never else Ending.REFUSED)
+        except TimeoutError:
+            return self.end(Ending.NEVER_UP)
+        except OSError:
+            return self.end(Ending.REFUSED)
         steady(writer)
-        self._reader, self._writer, self._buffer = reader, writer, b""
-        while self._waiting:
-            call = self._waiting.popleft()
+        self._reader, self._writer = reader, writer
+        while self.waiting:
+            call = self.waiting.popleft()
             if call.task is not None:  # one that was given up must not be written any more
-                self._write(call)
+                self.add(call)
         try:
             while chunk := await reader.read(CHUNK):
-                if self._writer is not writer:
-                    break  # given up meanwhile: its answers are no longer looked for
                 self._heard = asyncio.get_running_loop().time()
                 self._feed(chunk)
-        except (OSError, ValueError) as wrong:
-            self._say(f"the counter's connection: {wrong!r}")
-        writer.transport.abort()
-        if self._writer is writer:
-            self._lost(Ending.BROKEN)
-
-    def _lost(self, ending: Ending) -> None:
-        """The connection is gone; what was written on it may have been added."""
-        self._writer, self._runs = None, None
-        for call in (*self._out, *self._waiting):
-            self._end(call, ending)
-        self._out.clear()
-        self._waiting.clear()
-
-    def _end(self, call: Call, ending: Ending, total: float = 0.0) -> None:
-        if call.task is not None:
-            call.timer.cancel()
-            self._counts[f"counter calls {ending.value}"] += 1
-            self._put(Counted(call.task, ending, total))
-            call.task = None
-
-    def _overdue(self, call: Call) -> None:
-        late(lambda: self._end(call, Ending.OVERDUE if call.written else Ending.WITHHELD))
+        except OSError:
+            pass
+        except Garbled as wrong:
+            self._desk.say(f"the counter: {wrong}")
+            self.end(Ending.GARBLED)
+        finally:
+            self.end(Ending.BROKEN)
+
+    def end(self, ending: Ending) -> None:
+        """Let go of it; what was written on it may have been added."""
+        self._desk.forget(self)
+        for call in (*self.out, *self.waiting):
+            self._desk.ended(call, ending)
+        self.out.clear()
+        self.waiting.clear()
+        if self._writer is not None:
+            self._writer.transport.abort()
+        if self._task is not asyncio.current_task():
+            self._task.cancel()
 
     def _feed(self, chunk: bytes) -> None:
         """Answers, each one line or, for a bulk string, two."""
         data = self._buffer + chunk if self._buffer else chunk
         at = 0
-        while (end := data.find(b"\r\n", at)) >= 0:
-            kind, line = data[at : at + 1], data[at + 1 : end]
+        while (answer := _ANSWER.match(data, at)) is not None:
+            at = answer.end()
             total = 0.0
-            if kind == b"$":
-                size = int(line)
-                if len(data) < end + 2 + size + 2:
-                    break
-                total = float(data[end + 2 : end + 2 + size])
-                end += size + 2
+            if answer["total"] is not None:
+                total = float(answer["total"])
+                if len(answer["total"]) != int(answer["size"]) or not math.isfinite(total):
+                    raise Garbled(f"no total: {answer[0][:80]!r}")
                 ending = Ending.ANSWERED
-            elif kind == b"-":
-                ending = Ending.TURNED_AWAY
-                if not line.startswith(b"BUSY"):
-                    self._say(f"the counter says {line[:80]!r}")
             else:
-                raise ValueError(f"an answer to no call of ours: {data[at:end][:80]!r}")
-            at = end + 2
-            if not self._out:
-                raise ValueError("an answer without a call")
-            call = self._out.popleft()
+                ending = Ending.TURNED_AWAY
+                if not answer["error"].startswith(b"BUSY"):
+                    self._desk.say(f"the counter says {answer['error'][:80]!r}")
+            if not self.out:
+                raise Garbled("an answer without a call")
+            call = self.out.popleft()
             if call.task is None:
-                self._counts["counter answers too late"] += 1
-            self._end(call, ending, total)
+                self._desk.counts["counter answers too late"] += 1
+            self._desk.ended(call, ending, total)
         self._buffer = data[at:]
+        if _BEGUN.fullmatch(self._buffer) is None:  # guards against noise, and answers that never end
+            raise Garbled(f"an answer to no call of ours: {self._buffer[:80]!r}")
+
+
+class Counter:
+    """The counter service; answers come in the order of the calls, late ones too."""
+
+    def __init__(
+        self, put: Callable[[Event], None], say: Callable[[str], None], counts: Counts[str],
+        address: tuple[str, int], time_out_us: int, dial_us: int,
+    ) -> None:
+        self._put, self.say, self.counts, self._address = put, say, counts, address
+        self._patience, self.dial = time_out_us / SECOND, dial_us / SECOND
+        self._line: Line | None = None  # that new calls go out on
+        self._left: list[Line] = []  # at an address left, until their calls are answered or overdue
+
+    def add(self, task: Task, add: Add) -> None:
+        words = [b"INCRTTL", b"%d" % add.name, b"%.6f" % add.amount, b"%d" % max(1, add.life_us // 1000)]
+        call = Call(task, b"*4\r\n" + b"".join(b"$%d\r\n%b\r\n" % (len(each), each) for each in words))
+        call.timer = asyncio.get_running_loop().call_later(self._patience, self._overdue, call)
+        self.counts["counter calls"] += 1
+        self._newest().add(call)
+
+    def move(self, address: tuple[str, int]) -> None:
+        """From now on calls go to another address; those written are answered where they went."""
+        if address == self._address:
+            return
+        self._address, line, self._line = address, self._line, None
+        if line is None:
+            return
+        for call in line.waiting:
+            if call.task is not None:
+                self._newest().add(call)
+        line.waiting.clear()
+        self._left.append(line)
+        asyncio.get_running_loop().call_later(self._patience, late, lambda: line.end(Ending.OVERDUE))
+
+    def close(self) -> None:
+        """The end: no call goes out any more."""
+        for line in [*self._left, *([self._line] if self._line is not None else [])]:
+            line.end(Ending.CALLED_OFF)
+
+    def forget(self, line: Line) -> None:
+        if self._line is line:
+            self._line = None
+        elif line in self._left:
+            self._left.remove(line)
+
+    def ended(self, call: Call, ending: Ending, total: float = 0.0) -> None:
+        if call.task is not None:
+            call.timer.cancel()
+            self.counts[f"counter calls {ending.value}"] += 1
+            self._put(Counted(call.task, ending, total))
+            call.task = None
+
+    def _newest(self) -> Line:
+        if self._line is None or not self._line.usable():
+            self._line = Line(self, self._address)
+        return self._line
+
+    def _overdue(self, call: Call) -> None:
+        late(lambda: self.ended(call, Ending.OVERDUE if call.written else Ending.WITHHELD))
--- a/lapisgrade/net/discovery.py
+++ b/lapisgrade/net/discovery.py
@@ -8,6 +8,7 @@
 
 import h11
 
+from lapisgrade import start
 from lapisgrade.interface import Entry, Listed
 from lapisgrade.net.events import Event, News
 from lapisgrade.net.hops import Pool
@@ -25,50 +26,78 @@
 
     def __init__(
         self, put: Callable[[Event], None], say: Callable[[str], None], counts: Counter[str],
-        address: str, pool: Pool,
+        address: tuple[str, int], pool: Pool,
     ) -> None:
         self._put, self._say, self._counts, self._pool = put, say, counts, pool
-        host, _, port = address.rpartition(":")
-        self._host, self._port = host, int(port)
-        self._generation: int | None = None
+        self._address = address
+        self._known: int | None = None  # the version that the limiter was started with
+        self._watches: list[asyncio.Task] = []  # the newest last
 
-    def take(self, told: dict[str, Any]) -> None:
-        """Put a list, or changes of it, before the decisions."""
-        rows = [Fields(each) for each in told["instances"]]
-        entries = [self._entry(each) for each in rows]
-        addresses: dict[str, tuple[str, int] | None] = {}
-        for row, entry in zip(rows, entries, strict=True):
-            host, _, port = row.text("hostPort").rpartition(":") if "hostPort" in row else ("", "", "0")
-            addresses[entry.server] = (host, int(port)) if entry.state is Listed.READY else None
-        whole = bool(told.get("reset"))
+    def start(self) -> None:
+        self._watches.append(asyncio.create_task(self._follow(self._address, self._known)))
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Ask another agent from now on, for the whole list first. The one before is followed until that has
+        come (guards against a change told meanwhile, and against an agent that is not up yet)."""
+        if address == self._address:
+            return
+        self._address, self._known = address, None
+        self.start()
+        self._only(self._watches[-2:])
+
+    def close(self) -> None:
+        self._only([])
+
+    def _only(self, watches: list[asyncio.Task]) -> None:
+        for each in self._watches:
+            if each not in watches:
+                each.cancel()
+        self._watches = watches
+
+    def take(self, told: dict[str, Any]) -> int:
+        """Put a list, or changes of it, before the decisions; its version. Malformed if it makes no sense."""
+        if not isinstance(told, dict) or not isinstance(told.get("instances"), list):
+            raise Malformed("not a list of servers")
+        version, whole = Fields(told).whole("generation"), told.get("reset") is True
+        entries, addresses = [], {}
+        for row in told["instances"]:
+            if not isinstance(row, dict):
+                raise Malformed("a server is not an object")
+            entry = self._entry(Fields(row))
+            entries.append(entry)
+            ready = entry.state is Listed.READY
+            addresses[entry.server] = start.address(row.get("hostPort"), "hostPort") if ready else None
         if whole:
             addresses.update({each: None for each in self._pool.addresses if each not in addresses})
         self._pool.known(addresses)
-        self._generation = int(told["generation"])
+        self._known = version
         if entries or whole:
             self._counts["lists"] += 1
             self._put(News(entries, whole))
+        return version
 
-    async def follow(self) -> None:
+    async def _follow(self, address: tuple[str, int], version: int | None) -> None:
         while True:
             try:
-                reader, writer = await asyncio.open_connection(self._host, self._port)
+                reader, writer = await asyncio.open_connection(*address)
                 try:
                     while True:
-                        await self._call(reader, writer)
+                        version = await self._call(reader, writer, address[0], version)
                 finally:
                     writer.transport.abort()
-            except (OSError, TimeoutError, Garbled, Malformed, ValueError, KeyError) as wrong:
+            except (OSError, TimeoutError, Garbled, Malformed, ValueError) as wrong:
                 self._counts["discovery calls failed"] += 1
                 self._say(f"discovery: {wrong!r}")
                 await asyncio.sleep(RENEW / 2)
 
-    async def _call(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _call(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, host: str, version: int | None
+    ) -> int:
         path, wait = "/discovery/hosts", 0.0
-        if self._generation is not None:
+        if version is not None:
             wait = TOLD - LATE
-            path = f"{path}?since={self._generation}&timeout_ms={int(wait * 1000)}"
-        writer.write(f"GET {path} HTTP/1.1\r\nHost: {self._host}\r\n\r\n".encode())
+            path = f"{path}?since={version}&timeout_ms={int(wait * 1000)}"
+        writer.write(f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
         parser, message = Parser(h11.CLIENT), None
         async with asyncio.timeout(wait + LATE):
             while message is None:
@@ -79,11 +108,14 @@
         if message.head.status_code != 200:
             raise Garbled(f"status {message.head.status_code}")
         told = json.loads(b"".join(message.body))
-        self.take(told)
+        version = self.take(told)
+        if asyncio.current_task() is self._watches[-1]:
+            self._only(self._watches[-1:])
         if message.last:
             raise Garbled("the agent closed the connection")
         if not told["instances"]:
             await asyncio.sleep(RENEW / 2)  # guards against an agent that has nothing new and says so at once
+        return version
 
     def _entry(self, row: Fields) -> Entry:
         started_ms = row.number("startedAtMs")
--- a/lapisgrade/net/front.py
+++ b/lapisgrade/net/front.py
@@ -160,9 +160,8 @@
         self.closing = False  # each answer is its connection's last from now on
         self._server: asyncio.Server | None = None
 
-    async def open(self, address: str) -> None:
-        host, _, port = address.rpartition(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port), backlog=self._most)
+    async def open(self, address: tuple[str, int]) -> None:
+        self._server = await asyncio.start_server(self._serve, *address, backlog=self._most)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         steady(writer)
--- a/lapisgrade/net/service.py
+++ b/lapisgrade/net/service.py
@@ -41,8 +41,9 @@
             raise Malformed(f"seed: {wrong}") from None
         self.counts: Counter[str] = Counter()
         self._log = log.Log(told["name"])
-        say, now = self._log.say, wall()
-        self._listen, self._known = told["listen"], told["known"]
+        self.say, now = self._log.say, wall()
+        say = self.say
+        self._listen, self._known = start.address(told["listen"], "listen"), told["known"]
         self.host = Host(info, seed, now, say, self.counts)
         put, lines = self.host.put, start.lines(info)
         # Half of the descriptors for clients, a quarter for servers; the rest is for all else.
@@ -51,19 +52,32 @@
         )
         self.host.pool = hops.Pool(put, now, say, self.counts, lines, sockets // 4)
         desk = start.desk(info)
-        if desk.calls:
+        watched, counted = addresses(told, desk.calls)
+        if counted is not None:
             self.host.counter = counter.Counter(
-                put, say, self.counts, told.get("counter", ""), desk.time_out_us, lines.dial_us
+                put, say, self.counts, counted, desk.time_out_us, lines.dial_us
             )
-        self._discovery = discovery.Discovery(put, say, self.counts, told["discovery"], self.host.pool)
+        self._discovery = discovery.Discovery(put, say, self.counts, watched, self.host.pool)
         self._end = asyncio.Event()
 
     def end(self) -> None:
         self._end.set()
 
+    def reload(self, told: dict[str, Any]) -> None:
+        """Go on with what a new configuration says; what can't be read in it leaves all as it was.
+
+        Discovery and the counter move, under what is open; all else holds until the next start.
+        """
+        watched, counted = addresses(told, self.host.counter is not None)
+        self.counts["reloads"] += 1
+        self._discovery.move(watched)
+        if counted is not None:
+            self.host.counter.move(counted)
+
     async def run(self) -> None:
         self._discovery.take(self._known)
-        tasks = [asyncio.create_task(self.host.run()), asyncio.create_task(self._discovery.follow())]
+        deciding = asyncio.create_task(self.host.run())
+        self._discovery.start()
         await self._front.open(self._listen)
         try:
             await self._end.wait()
@@ -73,8 +87,8 @@
                 await asyncio.sleep(LOOK)
                 self._front.close_idle()
         finally:
-            for task in tasks:
-                task.cancel()
+            deciding.cancel()
+            self._discovery.close()
             self._front.close()
             self.host.pool.close()
             if self.host.counter is not None:
@@ -85,6 +99,12 @@
         self._log.counts(self.counts)
 
 
+def addresses(told: dict[str, Any], counts: bool) -> tuple[tuple[str, int], tuple[str, int] | None]:
+    """Where discovery and, for a limiter that counts, the counter are."""
+    watched = start.address(told.get("discovery"), "discovery")
+    return watched, start.address(told.get("counter"), "counter") if counts else None
+
+
 def read(path: str) -> dict[str, Any]:
     """The configuration in a file."""
     try:
@@ -97,11 +117,22 @@
     return told
 
 
-async def serve(told: dict[str, Any]) -> None:
-    """Run one limiter as this process: SIGTERM ends it, SIGUSR1 prints its counters."""
-    service = Service(told)
+async def serve(path: str) -> None:
+    """Run one limiter as this process, as the file there tells it.
+
+    SIGTERM ends it, SIGHUP has it read the file again, SIGUSR1 prints its counters.
+    """
+    service = Service(read(path))
+
+    def reload() -> None:
+        try:
+            service.reload(read(path))
+        except Malformed as wrong:
+            service.say(f"goes on as before: {wrong}")
+
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, service.end)
     loop.add_signal_handler(signal.SIGINT, service.end)
+    loop.add_signal_handler(signal.SIGHUP, reload)
     loop.add_signal_handler(signal.SIGUSR1, service.report)
     await service.run()
--- a/lapisgrade/start.py
+++ b/lapisgrade/start.py
@@ -28,6 +28,8 @@
         value = self.get(name)
         if value is None or value == "":
             raise Malformed(f"{name} is missing")
+        if not isinstance(value, str):
+            raise Malformed(f"{name} is not text: {value!r}")
         return value
 
     def whole(self, name: str, default: int | None = None) -> int:
@@ -38,7 +40,7 @@
             raise Malformed(f"{name} is missing")
         try:
             return int(value)
-        except ValueError:
+        except (ValueError, TypeError, OverflowError):
             raise Malformed(f"{name} is not a whole number: {value!r}") from None
 
     def number(self, name: str, default: float = 0.0) -> float:
@@ -47,7 +49,7 @@
             return default
         try:
             number = float(value)
-        except ValueError:
+        except (ValueError, TypeError, OverflowError):
             raise Malformed(f"{name} is not a number: {value!r}") from None
         if number - number != 0.0:
             raise Malformed(f"{name} is not a finite number: {value!r}")
@@ -70,11 +72,19 @@
         value = self.get(name, default)
         if value is None:
             raise Malformed(f"{name} is missing")
-        if value not in table:
+        if not isinstance(value, str) or value not in table:
             raise Malformed(f"{name} is unknown: {value!r}")
         return table[value]
 
 
+def address(text: Any, name: str) -> tuple[str, int]:
+    """Host and port."""
+    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65_536:
+        raise Malformed(f"{name} is not a host and a port: {str(text)[:80]!r}")
+    return host, int(port)
+
+
 def flat(tree: dict[str, Any], at: str = "") -> Fields:
     """A JSON tree in the form of one line: a path for each value, `.count` for a list of objects."""
     fields = Fields()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -323,6 +323,8 @@
             await asyncio.sleep(30)
         if how == "busy":
             writer.write(b"-BUSY try later\r\n")
+        elif isinstance(how, bytes):
+            writer.write(how)
         elif how != "close":
             name, amount = words[1], float(words[2])
             self.counts[name] = self.counts.get(name, 0.0) + amount
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -12,7 +12,7 @@
 from types import SimpleNamespace
 
 import pytest
-from helpers import Backend, Site, heard
+from helpers import Agent, Backend, Site, Till, heard
 
 from lapisgrade import start
 from lapisgrade.interface import Add, Lines, Outcome, Tally
@@ -198,6 +198,7 @@
         assert process.returncode == 2 and words in said and said.count("\n") == 1
     site = Site()
     site.agent = SimpleNamespace(port=1, told=lambda: {"generation": 1, "reset": True, "instances": []})
+    site.till.port = 1
     site.port = Random(os.getpid()).randrange(20_000, 30_000)
     told.write_text(json.dumps(site.told()))
     process = run()
@@ -206,9 +207,46 @@
         return (await site.ask(path="/up"))[0], (await site.ask())[0]
 
     assert asyncio.run(asyncio.wait_for(ask(), 10)) == (200, 429)  # no server is known
+    for text in ["{", json.dumps({**site.told(), "counter": "nowhere"}), json.dumps(site.told())]:
+        told.write_text(text)
+        process.send_signal(signal.SIGHUP)
+        assert asyncio.run(asyncio.wait_for(ask(), 10)) == (200, 429)
     process.send_signal(signal.SIGTERM)
     _, said = process.communicate(timeout=5)
-    assert process.returncode == 0 and "operations 1" in said and "answered 429 1" in said
+    assert process.returncode == 0 and "operations 4" in said and "answered 429 4" in said
+    assert said.count("goes on as before: ") == 2 and "reloads 1" in said
+
+
+@on_loopback
+async def test_a_new_configuration_moves_discovery_and_counter_under_open_work():
+    async with Site() as site:
+        pool, rows = site.service.host.pool, site.agent.rows
+        agent, till = await Agent(rows).open(), await Till().open()
+        with pytest.raises(start.Malformed):
+            site.service.reload({**site.told(), "counter": 7})
+        site.service.reload({**site.told(), "discovery": "127.0.0.1:1"})  # nobody listens there yet
+        site.agent.change(s0="terminating")
+        await until(lambda: list(pool.addresses) == ["s1"])  # so the one before is still followed
+        site.till.manner = site.backends[1].manner = 0.02
+        early = [asyncio.create_task(site.ask("burn", f"early {i}")) for i in range(4)]
+        await until(lambda: site.till.seen)
+        site.service.reload({**site.told(), "discovery": f"127.0.0.1:{agent.port}",
+                             "counter": f"127.0.0.1:{till.port}"})
+        for each in (site.agent, site.till):
+            each.server.close()  # takes no new connections; open ones stay
+        assert [(await each)[0] for each in early] == [200] * 4
+        assert site.service.counts["counter calls answered"] >= 1
+        await until(lambda: agent.calls)
+        assert agent.calls[0][0] == "/discovery/hosts"
+        agent.change(s0="in_service", s1="terminated")
+        await until(lambda: list(pool.addresses) == ["s0"])
+        before = len(site.till.seen)
+        site.agent.shut()
+        site.till.shut()
+        assert (await site.ask("burn", "after", X_Customer="0" * 16))[0] == 200
+        assert len(site.till.seen) == before and till.seen and len(site.sent("after")) == 1
+        agent.close()
+        till.close()
 
 
 # ---- hops
@@ -336,7 +374,7 @@
 async def test_what_came_while_we_slept_is_not_overdue():
     async with Site() as site:
         got, landed = asyncio.Queue(), asyncio.Queue()
-        address = f"127.0.0.1:{site.till.port}"
+        address = ("127.0.0.1", site.till.port)
         calls = Calls(got.put_nowait, lambda text: None, Counter(), address, 100_000, 100_000)
         made, landed, now = pool(site.backends[0].port)
         for _ in range(2):  # the first ones open the connections
@@ -399,7 +437,7 @@
     """An answer that comes too late is not taken for the next call's."""
     async with Site() as site:
         got = asyncio.Queue()
-        address = f"127.0.0.1:{site.till.port}"
+        address = ("127.0.0.1", site.till.port)
         calls = Calls(got.put_nowait, lambda text: None, Counter(), address, 250_000, 100_000)
 
         async def tell(amount, manner):
@@ -417,6 +455,11 @@
         assert await tell(1.0, "close") == (Tally.SILENT, 0.0)
         assert await tell(1.0, "silent") == (Tally.SILENT, 0.0)
         assert await tell(1.0, "well") == (Tally.ADDED, 5.0)  # on a new connection
+        for spoilt in [
+            b"$3\r\nnan\r\n", b"$4\r\n1e99", b"$4\r\nmany\r\n", b"$9999999\r\n", b":5\r\n", b"\r\n",
+            b"$1\r\n55\r\n", b"$-1\r\n", b"-" + bytes(999),
+        ]:
+            assert await tell(1.0, spoilt) == (Tally.SILENT, 0.0)
         site.till.close()
         await asyncio.sleep(0.01)
         assert await tell(1.0, "well") == (Tally.TURNED_AWAY, 0.0)
