A request or answer with two lengths is refused, and one too long at its head

Checked: h11 reads such a body in chunks and hands out what follows as the next request (net/http.py, Parser.feed); bad clients send both Content-Length and Transfer-Encoding. Ruled out: pipelined requests, which keep their turn. Now Parser judges each head before anything of the body is read; a length over 64 KiB is refused there too, in place of after 64 KiB of it.

--- a/lapisgrade/net/http.py
+++ b/lapisgrade/net/http.py
@@ -90,6 +90,7 @@
                 if kind is h11.Data:
                     self._keep(chunk, event.data)
                 elif kind in (h11.Request, h11.Response):
+                    self._judge(event)
                     self._head = event
                 elif kind is h11.NEED_DATA:
                     return None
@@ -98,6 +99,17 @@
         except h11.RemoteProtocolError as wrong:
             raise Garbled(str(wrong), wrong.error_status_hint) from None
 
+    def _judge(self, head: h11.Request | h11.Response) -> None:
+        """Whether the body may be read, and by one length alone.
+
+        Two lengths may hide another message in a body (guards against a request that nobody asked to run).
+        """
+        names = [name for name, _ in head.headers]
+        if b"transfer-encoding" in names and (b"content-length" in names or head.http_version < b"1.1"):
+            raise Garbled("the body has two lengths")
+        if any(name == b"content-length" and int(value) > MOST_BODY for name, value in head.headers):
+            raise Garbled("the body is too long", 413)
+
     def expects(self) -> bool:
         """Whether the other side waits for our word before it sends the body."""
         return self._machine.they_are_waiting_for_100_continue
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -103,6 +103,16 @@
             assert status == 400 and headers["connection"] == "close", bad
         assert (await site.ask("burn", body=bytes(70_000)))[0] == 413
         assert (await site.ask(timeout="1e300"))[0] == 200  # no longer than the hard stop
+        hidden = site.request("burn", "hidden", b"x")
+        for bad in [
+            {"Transfer_Encoding": "chunked", "Content_Length": str(len(hidden) + 5)},
+            {"Content_Length": "60000000"}, {"Content_Length": "-5"},
+        ]:
+            reader, writer = await site.connect()
+            writer.write(site.request("burn", "outer", **bad) + b"0\r\n\r\n" + hidden)
+            assert (await reader.readuntil(b"\r\n"))[9:12] in (b"400", b"413"), bad
+            await reader.read()
+        assert not site.sent("outer") and not site.sent("hidden")
         reader, writer = await site.connect()
         writer.write(b"\x16\x03\x01\x02\r\n\r\n")
         assert (await heard(reader))[0].startswith("HTTP/1.1 400")
