Requests are judged by the protocol's forms; a server's 4xx is final; idle connections end

A 400 counted as an error: tried again elsewhere and held against the server (net/hops.py told, decide.py Fleet.landed). Accounts took whatever set the first request named. Now each field has one form and range, by the protocol and the settings (units, set, method, deadline, id not open); a server's 4xx ends the operation with that status and says nothing of the server; no whole request within 2 s of connecting ends with 408 or a close; connections at rest for 3 s end, silent ones make room first; requests one behind another are taken in a loop, as 400 of /up in one write went past the depth of the stack; answers left unread are bounded. May harm: a client that keeps a connection for 3 s without asking opens a new one.

--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -458,12 +458,12 @@
         del server.out[hop]
         self.out -= 1
         took, outcome = report.took_us, report.outcome
-        if outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL) or not server.out:
+        if outcome in (Outcome.OK, Outcome.ERROR, Outcome.REJECTED, Outcome.FULL) or not server.out:
             server.silent_from = now if server.out else 0
         if outcome is Outcome.FULL:  # it may have room for others (guards one plan that is turned away)
             for name in (hop.operation.plan.name, category.name):
                 server.full.setdefault(name, Decaying(PACE_LIFE)).add(now, 1)
-        if outcome in (Outcome.FULL, Outcome.NEVER_SENT):
+        if outcome in (Outcome.FULL, Outcome.REJECTED, Outcome.NEVER_SENT):
             return
         usual = self.expected(hop.operation)
         if outcome is Outcome.OK:
--- a/lapisgrade/interface.py
+++ b/lapisgrade/interface.py
@@ -149,6 +149,7 @@
 class Outcome(Enum):
     OK = auto()
     ERROR = auto()
+    REJECTED = auto()  # the operation is at fault, not the server
     FULL = auto()
     TIMED_OUT = auto()
     NO_CONNECTION = auto()
--- a/lapisgrade/net/ending.py
+++ b/lapisgrade/net/ending.py
@@ -10,6 +10,7 @@
 
     ANSWERED = "answered"  # 200 from a server, a total from the counter
     ERRED = "erred"  # an answer that says neither
+    REJECTED = "rejected"  # a server says that the request is at fault
     TURNED_AWAY = "turned away"  # an answer that says that nothing was begun
     REFUSED = "refused"  # the connection
     NEVER_UP = "never up"  # the connection, in the time it may take
@@ -34,6 +35,7 @@
 _OUTCOMES = {
     Ending.ANSWERED: Outcome.OK,
     Ending.ERRED: Outcome.ERROR,
+    Ending.REJECTED: Outcome.REJECTED,
     Ending.TURNED_AWAY: Outcome.FULL,
     Ending.REFUSED: Outcome.NO_CONNECTION,
     Ending.NEVER_UP: Outcome.NO_CONNECTION,
--- a/lapisgrade/net/front.py
+++ b/lapisgrade/net/front.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import re
+import socket
 from collections import Counter
 from collections.abc import Callable
 from http import HTTPStatus
+from typing import Any
 
 import h11
 
@@ -13,10 +15,25 @@
 from lapisgrade.net.ending import Ending
 from lapisgrade.net.events import Asked, Event, Left, Taken
 from lapisgrade.net.http import CHUNK, MOST_BODY, Garbled, Message, Parser, steady
-from lapisgrade.start import Fields, Malformed
 
 _REASONS = {each.value: each.phrase.encode() for each in HTTPStatus}
-_CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
+# What the protocol's fields may look like. Whatever else comes in one is nobody's request.
+_CUSTOMER = re.compile(rb"0{7}[01][0-9a-fA-F]{8}")  # 16 hex digits of a number below 2 ** 33
+_ID = re.compile(rb"[!-~]{1,128}")
+_QUOTA = re.compile(
+    rb" *units=(\d{1,9}(?:\.\d{1,6})?) *, *spread=(\d{1,9}) *, *first=(\d{1,9}) *"
+)
+_TIMEOUT = re.compile(rb"\d{1,6}(?:\.\d{1,9})?")
+_METHODS = {Repeat.IDEMPOTENT: b"GET", Repeat.DEDUPLICATED: b"POST", Repeat.UNREPEATABLE: b"POST"}
+# The protocol's figures: a connection with no open request may be closed after 2 s, and one that brings no
+# whole request is owed an error or its end within 3 s.
+ASK = 2.0  # s from connecting, or from a request's first byte, in which a whole request must have come
+REST = 3.0  # s that a connection may stand idle after an answer; clients that ask again do so sooner
+LOOK = 0.2  # s between looks for either
+SURELY = 0.2  # s from connecting after which a client that means to ask has asked
+ACCEPTS = 16  # connections taken in one turn of the loop, before any other must make room for them
+BACKLOG = 1024  # connections that wait in the kernel meanwhile
+MOST_UNREAD = 4 * MOST_BODY  # bytes of answers that a client may leave unread
 
 
 class Client:
@@ -45,8 +62,7 @@
             pass  # it was reset: the client has gone
         finally:
             if self.operation is not None:
-                self._front.put(Left(self.operation))
-                self.operation.handle.client = self.operation = None
+                self._front.put(Left(self._done()))
             self._whole()
             self._writer.close()
             self._front.forget(self)
@@ -55,15 +71,23 @@
     def close(self, ending: Ending) -> None:
         """Close once all that was written is out; `read` ends then."""
         self.ending = ending
-        self._front.idle.pop(self, None)
+        self._front.busy(self)
         self._writer.close()
 
     def abort(self, ending: Ending) -> None:
         """Close at once, also where what was written can't go out (guards descriptors against lost peers)."""
         self.ending = ending
-        self._front.idle.pop(self, None)
+        self._front.busy(self)
         self._writer.transport.abort()
 
+    def overdue(self) -> None:
+        """No whole request came in time (guards descriptors against peers that are silent or slow)."""
+        if self._timer is not None:
+            self._whole()
+            self.reply(408, [], 0, last=True, ending=Ending.OVERDUE)
+        else:
+            self.close(Ending.OVERDUE)
+
     def reply(
         self, status: int, body: list, size: int, more: bytes = b"", last: bool = False,
         ending: Ending = Ending.ANSWERED,
@@ -74,55 +98,59 @@
             status, _REASONS.get(status, b""), size, more, close)
         self._writer.writelines([head, *body])
         self._front.counts[f"answered {status}"] += 1
-        if last:
+        if self._writer.transport.get_write_buffer_size() > MOST_UNREAD:
+            self.abort(Ending.OVERDUE)  # guards memory against a peer that asks and does not read
+        elif last:
             self.close(ending)
 
     def answer(self, status: int, body: list, size: int, more: bytes = b"") -> None:
         """The final answer to the operation under way."""
-        self.operation.handle.client = self.operation = None
+        self._done()
+        early, self._early = self._early, b""
         self.reply(status, body, size, more, self._last)
-        self._next(self._early)
+        self._next()
+        self._feed(early)
 
-    def _next(self, early: bytes) -> None:
-        if self._writer.is_closing():
-            return
-        self._parser, self._early = Parser(h11.SERVER), b""
-        self._front.idle.pop(self, None)
-        self._front.idle[self] = None
-        if early:
-            self._feed(early)
+    def _done(self) -> Operation:
+        """Nothing is owed any more for the operation under way."""
+        operation, self.operation = self.operation, None
+        operation.handle.client = None
+        self._front.open.discard(operation.handle.request_id)
+        return operation
+
+    def _next(self) -> None:
+        self._parser = Parser(h11.SERVER)
+        if not self._writer.is_closing():
+            self._front.rests(self)
 
     def _whole(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
-    def _too_slow(self) -> None:
-        """The rest of a request never came (guards descriptors against peers that vanish half way)."""
-        self._timer = None
-        self.reply(408, [], 0, last=True, ending=Ending.OVERDUE)
-
     def _feed(self, chunk: bytes) -> None:
-        if self.operation is not None:
+        """Take in what came, one request after another until one must wait for its answer."""
+        while chunk and self.operation is None and not self._writer.is_closing():
+            try:
+                message = self._parser.feed(chunk)
+                if message is None:
+                    return self._part()
+                self._whole()
+                self._take(message)
+                chunk = message.rest
+            except Garbled as wrong:
+                self._front.say(f"a request was answered {wrong.status}: {wrong}")
+                return self.reply(wrong.status, [], 0, last=True, ending=Ending.GARBLED)
+        if chunk and self.operation is not None:
             self._early += chunk
             if len(self._early) > 2 * MOST_BODY:
                 self.abort(Ending.GARBLED)  # `read` sees the end, and says that it left
-            return
-        if self._writer.is_closing():
-            return
-        try:
-            message = self._parser.feed(chunk)
-            if message is not None:
-                self._whole()
-                self._take(message)
-                return
-        except Garbled as wrong:
-            self._front.say(f"a request was answered {wrong.status}: {wrong}")
-            self.reply(wrong.status, [], 0, last=True, ending=Ending.GARBLED)
-            return
+
+    def _part(self) -> None:
+        """A request has come in part."""
         self._front.idle.pop(self, None)
         if self._timer is None:
-            self._timer = asyncio.get_running_loop().call_later(self._front.patience, self._too_slow)
+            self._timer = asyncio.get_running_loop().call_later(ASK, self.overdue)
         if self._parser.expects():
             self._writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -130,15 +158,14 @@
         front = self._front
         if message.head.target == front.UP:
             self.reply(200, [], 0, last=message.last)
-            self._next(message.rest)
-            return
+            return self._next()
         if self.unwanted:
-            self.reply(503, [], 0, last=True, ending=Ending.TURNED_AWAY)
-            return
-        self.operation = front.operation(self, message)
-        self._early, self._last = message.rest, message.last
-        front.idle.pop(self, None)
-        front.put(Taken(self.operation))
+            return self.reply(503, [], 0, last=True, ending=Ending.TURNED_AWAY)
+        operation = front.operation(self, message)
+        front.open.add(operation.handle.request_id)
+        self.operation, self._last = operation, message.last
+        front.busy(self)
+        front.put(Taken(operation))
 
 
 class Front:
@@ -148,48 +175,85 @@
 
     def __init__(
         self, put: Callable[[Event], None], now: Callable[[], int], say: Callable[[str], None],
-        counts: Counter[str], categories: list[Category], plans: list[Plan], most: int,
+        counts: Counter[str], categories: list[Category], plans: list[Plan], most: int, limiters: int,
+        most_units: float,
     ) -> None:
         self.put, self._now, self.say, self.counts, self._most = put, now, say, counts, most
         self._categories = {each.name.encode(): each for each in categories}
         self._plans = {each.name.encode(): each for each in plans}
+        self._limiters, self._most_units = limiters, most_units
+        self.open: set[bytes] = set()  # ids of the requests under way
         self.clients: dict[Client, None] = {}
-        self.idle: dict[Client, None] = {}  # with no operation; the one idle for longest first
+        # Connections with no operation, and since when; the longest first.
+        self.fresh: dict[Client, float] = {}  # no whole request has come yet
+        self.idle: dict[Client, float] = {}  # all that was asked is answered
         self._were_idle: list[Client] = []
-        self.patience = max((each.hard_stop_us for each in categories), default=SECOND) / SECOND
         self.closing = False  # each answer is its connection's last from now on
         self._server: asyncio.Server | None = None
+        self._timer: asyncio.TimerHandle | None = None
 
-    async def open(self, address: tuple[str, int]) -> None:
-        self._server = await asyncio.start_server(self._serve, *address, backlog=self._most)
+    async def listen(self, address: tuple[str, int]) -> None:
+        listener = socket.create_server(address)
+        self._server = await asyncio.start_server(self._serve, sock=listener, backlog=ACCEPTS)
+        listener.listen(BACKLOG)
+        self._look()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         steady(writer)
         client = Client(self, writer)
-        self.clients[client] = self.idle[client] = None
+        self.clients[client] = None
+        self.fresh[client] = asyncio.get_running_loop().time()
         self.counts["clients connected"] += 1
-        if len(self.clients) > self._most:  # guards the descriptors
-            oldest = next(iter(self.idle))
-            if oldest is client:
-                client.unwanted = True
-            else:
-                oldest.abort(Ending.IDLE)
+        if len(self.clients) > self._most:
+            self._make_room(client)
         await client.read(reader)
 
+    def _make_room(self, newest: Client) -> None:
+        """Guards the descriptors: one that asks nothing goes, else one at rest, else the newest is unwanted.
+
+        One that came just now may be about to ask, and would lose what it asks.
+        """
+        oldest = next(iter(self.fresh), newest)
+        if oldest is not newest and self.fresh[oldest] < asyncio.get_running_loop().time() - SURELY:
+            oldest.abort(Ending.OVERDUE)
+        elif self.idle:
+            next(iter(self.idle)).abort(Ending.IDLE)
+        else:
+            newest.unwanted = True
+
+    def _look(self) -> None:
+        """Let go of connections that ask nothing (guards descriptors and memory)."""
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(LOOK, self._look)
+        now = loop.time()
+        for client in [each for each, since in self.fresh.items() if since < now - ASK]:
+            client.overdue()
+        for client in [each for each, since in self.idle.items() if since < now - REST]:
+            client.close(Ending.IDLE)
+
+    def busy(self, client: Client) -> None:
+        self.fresh.pop(client, None)
+        self.idle.pop(client, None)
+
+    def rests(self, client: Client) -> None:
+        self.busy(client)
+        self.idle[client] = asyncio.get_running_loop().time()
+
     def forget(self, client: Client) -> None:
         self.clients.pop(client, None)
-        self.idle.pop(client, None)
+        self.busy(client)
 
     def close_idle(self) -> None:
         """From now on connections end with their answers; those idle since the last such call end now."""
         self.closing = True
         for client in self._were_idle:
-            if client in self.idle:
+            if client in self.fresh or client in self.idle:
                 client.close(Ending.IDLE)
-        self._were_idle = list(self.idle)
+        self._were_idle = [*self.fresh, *self.idle]
 
     def close(self) -> None:
         """The end: no new connections, and none that is left goes on."""
+        self._timer.cancel()
         self._server.close()
         for client in list(self.clients):
             client.abort(Ending.CALLED_OFF)
@@ -198,55 +262,61 @@
         """The operation that a request stands for; Garbled, where it stands for none."""
         now = self._now()
         headers = message.headers()
-        quota = Fields()
-        for part in headers.get(b"x-quota", b"").decode("ascii", "replace").replace(" ", "").split(","):
-            name, _, quota[name] = part.partition("=")
-        quota["timeout"] = headers.get(b"x-timeout", b"").decode("ascii", "replace")
-        try:
-            customer, key = _named(headers, b"x-customer"), headers.get(b"idempotency-key")
-            category = _among(self._categories, _named(headers, b"x-priority-class"), "category")
-            units, timeout = quota.number("units", 1.0), quota.number("timeout")
-            if not _CUSTOMER.fullmatch(customer):
-                raise Malformed("the customer is not 16 hex digits")
-            if units <= 0 or timeout <= 0:
-                raise Malformed("units and time must be above 0")
-            if key is None and category.repeat is Repeat.DEDUPLICATED:
-                raise Malformed("a key is missing, by which servers would know a repeat")
-            return Operation(
-                customer=customer.decode().lower(),
-                plan=_among(self._plans, _named(headers, b"x-plan"), "plan"),
-                category=category,
-                units=units,
-                arrived_us=now,
-                ends_us=now + min(round(timeout * SECOND), category.hard_stop_us),
-                gateways=max(1, quota.whole("spread", 1)),
-                first_gateway=quota.whole("first", 0),
-                retried=headers.get(b"x-retried") == b"1",
-                handle=Asked(
-                    client,
-                    message.head.method,
-                    message.head.target,
-                    headers.get(b"host", b""),
-                    _named(headers, b"x-request-id"),
-                    key,
-                    message.body,
-                ),
-            )
-        except Malformed as wrong:
-            raise Garbled(str(wrong)) from None
-
-
-def _named(headers: dict[bytes, bytes], name: bytes) -> bytes:
-    value = headers.get(name)
-    if not value:
-        raise Malformed(f"{name.decode()} is missing")
-    return value
-
-
-def _among(table: dict[bytes, object], name: bytes, what: str):
-    if name not in table:
-        raise Malformed(f"the {what} is unknown: {name[:80]!r}")
-    return table[name]
+        category = _among(self._categories, headers, b"x-priority-class")
+        plan = _among(self._plans, headers, b"x-plan")
+        customer = _formed(headers, b"x-customer", _CUSTOMER)[0].decode().lower()
+        units, spread, first = _formed(headers, b"x-quota", _QUOTA).groups()
+        timeout = float(_formed(headers, b"x-timeout", _TIMEOUT)[0])
+        request_id = _formed(headers, b"x-request-id", _ID)[0]
+        key = headers.get(b"idempotency-key")
+        units, spread, first = float(units), int(spread), int(first)
+        if not 0 < units <= self._most_units:
+            raise Garbled("the units are out of range")
+        if not (1 <= spread <= self._limiters and first < self._limiters):
+            raise Garbled("the customer's set is out of range")
+        if timeout <= 0:
+            raise Garbled("no time is left")
+        method = message.head.method
+        if method != _METHODS[category.repeat] or (message.size and method == b"GET"):
+            raise Garbled("not the method of its class")
+        if not key and category.repeat is Repeat.DEDUPLICATED:
+            raise Garbled("a key is missing, by which servers would know a repeat")
+        if request_id in self.open:  # its answer might go to the wrong one, and servers would see a copy
+            raise Garbled("a request with this id is open", 409)
+        return Operation(
+            customer=customer,
+            plan=plan,
+            category=category,
+            units=units,
+            arrived_us=now,
+            ends_us=now + min(round(timeout * SECOND), category.hard_stop_us),
+            gateways=spread,
+            first_gateway=first,
+            retried=headers.get(b"x-retried") == b"1",
+            handle=Asked(
+                client,
+                message.head.method,
+                message.head.target,
+                headers.get(b"host", b""),
+                request_id,
+                key,
+                message.body,
+            ),
+        )
+
+
+def _formed(headers: dict[bytes, bytes], name: bytes, form: re.Pattern[bytes]) -> re.Match[bytes]:
+    match = form.fullmatch(headers.get(name, b""))
+    if match is None:
+        raise Garbled(f"{name.decode()} can't be read: {headers.get(name, b'')[:80]!r}")
+    return match
+
+
+def _among(table: dict[bytes, Any], headers: dict[bytes, bytes], name: bytes) -> Any:
+    value = headers.get(name, b"")
+    if value not in table:
+        raise Garbled(f"{name.decode()} is unknown: {value[:80]!r}")
+    return table[value]
 
 
 def worded(answer: Answer) -> tuple[int, bytes]:
--- a/lapisgrade/net/hops.py
+++ b/lapisgrade/net/hops.py
@@ -14,6 +14,9 @@
 from lapisgrade.net.http import CHUNK, Garbled, Message, Parser, late, stale, steady
 
 
+_ONLY_NOW = (408, 425, 429)  # 4xx that tell of the moment, not of the request
+
+
 class Link:
     """One connection to one server, with one hop on it at most."""
 
@@ -146,7 +149,7 @@
         counts: Counter[str], lines: Lines, most: int,
     ) -> None:
         self._put, self.now, self.say, self.counts, self.lines = put, now, say, counts, lines
-        self._most = most
+        self.most = most
         self.addresses: dict[str, tuple[str, int]] = {}
         self._links: dict[Any, Link] = {}  # by the hop that is out
         self._idle: dict[str, list[Link]] = {}  # by server; the one idle for longest first
@@ -168,7 +171,7 @@
             link = idle.pop()
             self._links[hop] = link
             link.ask(hop)
-        elif server not in self.addresses or (self._open >= self._most and not self._close_one()):
+        elif server not in self.addresses or (self._open >= self.most and not self._close_one()):
             self._put(Landed(hop, Ending.WITHHELD))
         else:
             self._open += 1
@@ -255,6 +258,8 @@
         return Ending.ANSWERED
     if status in (503, 504) and message.headers().get(b"x-not-processed") == b"1":
         return Ending.TURNED_AWAY
+    if 400 <= status < 500 and status not in _ONLY_NOW:
+        return Ending.REJECTED
     return Ending.ERRED
 
 
--- a/lapisgrade/net/host.py
+++ b/lapisgrade/net/host.py
@@ -96,9 +96,10 @@
         operation = hop.operation
         client = operation.handle.client
         message = event.message
-        if client is not None and ending is Ending.ANSWERED:
+        # A request that a server can't use is told so: no other could (guards servers against its repeats).
+        if client is not None and ending in (Ending.ANSWERED, Ending.REJECTED):
             del self.owed[operation.handle]
-            client.answer(200, message.body, message.size)
+            client.answer(message.head.status_code, message.body, message.size)
             client = None
         load = hops.load_report(message) if message is not None else None
         report = Report(ending.outcome, self.clock.now_us - hop.sent, client is None, load)
--- a/lapisgrade/net/service.py
+++ b/lapisgrade/net/service.py
@@ -48,7 +48,8 @@
         put, lines = self.host.put, start.lines(info)
         # Half of the descriptors for clients, a quarter for servers; the rest is for all else.
         self._front = front.Front(
-            put, now, say, self.counts, start.categories(info), start.plans(info), sockets // 2
+            put, now, say, self.counts, start.categories(info), start.plans(info), sockets // 2,
+            start.post(info).limiters, start.most_units(info),
         )
         self.host.pool = hops.Pool(put, now, say, self.counts, lines, sockets // 4)
         desk = start.desk(info)
@@ -78,7 +79,7 @@
         self._discovery.take(self._known)
         deciding = asyncio.create_task(self.host.run())
         self._discovery.start()
-        await self._front.open(self._listen)
+        await self._front.listen(self._listen)
         try:
             await self._end.wait()
             await asyncio.sleep(COMING)
--- a/lapisgrade/start.py
+++ b/lapisgrade/start.py
@@ -3,6 +3,7 @@
 Names are the operators'; values come as the text of a line or as a parsed JSON tree.
 """
 
+import math
 from typing import Any
 
 from lapisgrade.interface import Category, Desk, Duties, Group, Leave, Lines, Plan, Post, Repeat
@@ -167,6 +168,11 @@
     return Post(info.whole("SelfIndex", 0), max(1, info.whole("NInstances", 1)), info.get("Zone", ""))
 
 
+def most_units(info: Fields) -> float:
+    """The most that one operation may take from a quota."""
+    return info.number("Specifics.UnitsTop") or math.inf
+
+
 def desk(info: Fields) -> Desk:
     return Desk(info.flag("Specifics.SharedCounter"), info.micros("Specifics.CountLimit"))
 
