A crowded counter is asked at a pace, and skipped calls go by the room last told

A probe of every admission and call: 4838 of 5909 admissions by the local slice, 499 of 1434 calls silent, the breaker open most of the time, all limiters at once (decide.py Counter, alone). Checked: calls' times by how many went out in the 100 ms before: 10 ms when few, over the time-out of 30 ms from 14 on. So the counter takes some 140 calls a second there and the breaker let out floods, then nothing. Ruled out: lost connections (10 a limiter) and our own CPU. Now a pace of calls, halved by unanswered ones and growing with each answer, and for a skipped call the room last told, less what is owed and what the others take at their pace, in place of the slice, while the breaker is closed. The slice still decides while the counter is silent. May harm: a customer whose use moves between limiters within a second of a crowded counter is held to what was told before.

--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -1,10 +1,9 @@
-"""Every decision of a limiter. Whoever is on call can read it from top to bottom.
+"""Every decision of a limiter, to be read from top to bottom; docs/design.md says why.
 
 A host makes one `Limiter` per process and moves its clock. For each operation taken it runs
 `limiter.operation(op)`, a generator that yields what it wants done and is resumed with the result; the
 end of every hop goes to `limiter.landed(hop, report)` first and then to the operation. News of servers
-goes to `limiter.listed`.
-The interface is lapisgrade/interface.py, the engine lapisgrade/engine.py; docs/design.md says why.
+goes to `limiter.listed`. The interface is lapisgrade/interface.py, the engine lapisgrade/engine.py.
 """
 
 import math
@@ -23,9 +22,12 @@
 GROWTH = 15  # lives that an epoch lasts at most; amounts grow e-fold in each, and the counter takes up to 1e9
 NAME_LIFE = 45 * SECOND  # us; outlives its epoch, so that a limiter that is late still finds the name
 LEASE_MOST = 50  # operations; the design's cap
-LEASE_LIFE = SECOND  # us; the design's
 SILENT_CALLS = 3  # unanswered calls in a row that open the breaker; the design's
-KNOCK_EVERY = SECOND  # us between calls while the breaker is open; the design's
+LEASE_LIFE = KNOCK_EVERY = SECOND  # us; a lease's life, and between calls of an open breaker; the design's
+CALLS_MOST = 200.0  # calls a second that one limiter starts with, and never passes: one for each operation
+CALLS_MORE = 0.02, 0.1  # of that pace, and calls a second, that an answered call adds to it
+CALLS_LESS = 0.5  # of the pace that unanswered ones leave: one in ten or less is then unanswered in a crowd
+CALLS_AT_ONCE = 0.05  # s of the pace that may go out together; a counter's time-out or two
 SLICE = 1.5  # even slices of a quota let in while the counter is silent; the design's two overshoots
 
 PACE_LIFE = 12 * SECOND  # us; how long what a hop took is remembered, some dozens of hops a server
@@ -38,8 +40,7 @@
 QUIET = 3.0  # expected durations without any answer after which a server is thought silent
 PATIENCE = 3.0  # deviations above the mean that a hop may last before another is tried
 PART = 6  # servers that one limiter of many sends to; few enough to know each, enough to lose some
-HOPS_FROM = 2.0  # hops out at one server, of all limiters; where the bound starts: about one a core
-HOPS_LEAST = 2.0  # hops out at one server, of all limiters, that are no queue; the bound's floor
+HOPS_LEAST = 2.0  # hops out at one server, of all limiters, that are no queue; the bound's start and floor
 STEER = 0.1  # hops that the bound moves by with each hop that lands, at most: about a tenth a round trip
 GOOD_TIME = 0.25  # of the quoted time; what hops may last in the mean, work and queue together
 STEER_LIFE = 2 * SECOND  # us; how long a hop steers the bound, a few round trips
@@ -89,31 +90,36 @@
 
 
 class Counter:
-    """The counter service as this limiter sees it, with a breaker that stops asking a silent one."""
+    """The counter as this limiter sees it: a breaker for a silent one, a pace for a crowded one, as, asked
+    for more than it can count, it tells nobody anything (guards also against one that loses answers)."""
 
     def __init__(self, there: bool) -> None:
-        self.there, self.silent, self.knock_at = there, 0, 0
+        self.there, self.silent, self.knock_at, self.eased = there, 0, 0, 0
+        self.calls = Bucket(0, CALLS_MOST, CALLS_MOST * CALLS_AT_ONCE, 1.0)
 
     def asks(self, now: int) -> bool:
         """Whether a call may go out now; with the breaker open, one a while does."""
-        if not self.there or self.silent < SILENT_CALLS:
-            return self.there
-        if now < self.knock_at:
+        calls = self.calls.read(now)
+        if not self.there or (calls < 1 if self.silent < SILENT_CALLS else now < self.knock_at):
             return False
+        self.calls.put(now, calls - 1)
         self.knock_at = now + KNOCK_EVERY
         return True
 
-    def heard(self, now: int, tally: Tally) -> None:
-        self.silent = 0 if tally is Tally.ADDED else self.silent + 1
-        if self.silent == SILENT_CALLS:
-            self.knock_at = now + KNOCK_EVERY
+    def heard(self, now: int, tally: Tally, sent: int) -> None:
+        calls, added, (share, more) = self.calls, tally is Tally.ADDED, CALLS_MORE
+        self.silent = 0 if added else self.silent + 1
+        calls.put(now, calls.read(now))
+        if added:
+            calls.rate = min(CALLS_MOST, calls.rate * (1 + share) + more)
+        elif sent > self.eased:  # those that were out together tell one thing
+            calls.rate, self.eased = calls.rate * CALLS_LESS, now
+        calls.burst = max(1.0, calls.rate * CALLS_AT_ONCE)
 
 
 class Waiting:
     """An operation that waits for its account's call; `let_in` is the call's word, None for silence."""
 
-    __slots__ = ("counted", "done", "let_in", "operation")
-
     def __init__(self, operation: Operation) -> None:
         self.operation, self.done, self.let_in, self.counted = operation, False, None, False
 
@@ -125,35 +131,34 @@
         now, plan, self.gateways = clock.now_us, first.plan, first.gateways
         self.clock, self.counter, self.plan, self.customer = clock, counter, plan, first.customer
         self.store = Bucket(now, plan.rate, plan.burst, plan.burst)  # the quota's, as the totals tell it
-        # What is taken counts 1/e after the time the store takes to fill. On the counter it does so too: what
-        # is added grows by as much an epoch long, so that any one look tells what is recent.
+        # What is taken counts 1/e after the time the store takes to fill, on the counter too.
         self.life = max(SECOND, int(plan.burst / plan.rate * SECOND)) if plan.rate > 0 else SECOND
         self.lasts = min(EPOCH, GROWTH * self.life)  # us that an epoch lasts
-        self.name, self.epoch = 0, -1
-        self.count, self.own = Decaying(self.life), Decaying(self.life)  # as last read; our part of it
-        self.owed = Decaying(self.life)  # to be added with the next call
-        self.lease, self.lease_ends = 0.0, 0
+        self.name, self.epoch, self.looked, self.lease, self.lease_ends = 0, -1, 0, 0.0, 0
+        self.count, self.own, self.owed = (Decaying(self.life) for _ in range(3))  # as read; our part; to add
         share = SLICE / self.gateways
         self.slice = Bucket(now, plan.rate * share, plan.burst * share, plan.burst * share)
-        # The ceiling is split evenly, and a share is empty when this limiter starts: the shares then never
-        # hold more than the one store does, whatever an earlier life spent (guards rule 5 at restarts).
+        # Split evenly, and empty when this limiter starts, whatever an earlier life spent (guards rule 5).
         rate, burst = plan.ceiling_rate / self.gateways, plan.ceiling_burst / self.gateways
-        self.ceiling = Bucket(started, rate, burst, 0.0) if rate > 0 else None
-        self.open = 0
+        self.ceiling = Bucket(started, rate, burst, 0.0) if rate > 0 else Bucket(0, 0.0, math.inf, math.inf)
+        self.open, self.calling, self.used = 0, False, now
         self.queue: list[Waiting] = []
-        self.calling = False
 
     def slot(self, units: float, lasts: float) -> bool:
-        """Whether the cap on open hops leaves a slot, beside what the other limiters likely have out: their
-        use of late, as the count tells it, for as long as a hop lasts."""
+        """Whether the cap on open hops leaves a slot, beside what the others likely have out by their use."""
         now = self.clock.now_us
         others = max(0.0, self.count.read(now) - self.own.read(now)) * lasts / self.life / units
         return not self.plan.open_cap or self.open + others < self.plan.open_cap - OPEN_DOUBT
 
+    def spent(self, now: int) -> bool:
+        """Whether nothing is lost with it, as the counter has forgotten it too (guards memory)."""
+        out = self.open or self.queue or self.calling or self.ceiling.read(now) < self.ceiling.burst
+        return not out and now - self.used > NAME_LIFE and self.count.read(now) < 0.01 * self.plan.burst
+
     def admit(self, op: Operation) -> Generator:
         """Let the operation in (None), or tell how long until there may be room for it."""
         now, units = self.clock.now_us, op.units
-        if self.ceiling is not None and self.ceiling.read(now) < units:
+        if self.ceiling.read(now) < units:
             return self.ceiling.wait(now, units)
         if self.plan.rate <= 0:
             return self.take(now, units)
@@ -179,12 +184,11 @@
                 return 0  # the client has left, or is about to
         now = self.clock.now_us
         if waiting.let_in is None:
-            # A silent call was mostly counted: the slice lets that in, or it is taken back (guards a crowded
-            # counter against counting what was never sent, or twice).
+            # A silent call was mostly counted: it goes in, or is taken back (guards against counting twice).
             return self.alone(now, units, waiting.counted)
         if not waiting.let_in:
             return self.store.wait(now, units)
-        if self.ceiling is not None and self.ceiling.read(now) < units:
+        if self.ceiling.read(now) < units:
             self.owed.add(now, -units)
             return self.ceiling.wait(now, units)
         return self.take(now, units)
@@ -192,17 +196,22 @@
     def take(self, now: int, units: float, alone: bool = False) -> None:
         level = self.slice.read(now) - units
         self.slice.put(now, level if alone else max(0.0, level))
-        if self.ceiling is not None:
-            self.ceiling.put(now, self.ceiling.read(now) - units)
+        self.ceiling.put(now, self.ceiling.read(now) - units)
 
     def alone(self, now: int, units: float, counted: bool = False) -> int | None:
         """No word from the counter: the local slice decides, and the count is told later."""
         # A full slice lets in any one, and owes the rest (guards calm customers of very many limiters).
         needs = min(units, self.slice.burst)
-        let_in = self.slice.read(now) >= needs
+        room, rate = self.slice.read(now), self.slice.rate
+        if self.epoch >= 0 and self.counter.silent < SILENT_CALLS:
+            # It is crowded, not gone: what it told of late, with the others' use as it was, says more.
+            others = max(0.0, self.count.read(now) - self.own.read(now)) / self.life
+            needs, rate = units, self.plan.rate / self.gateways
+            room = self.store.read(now) - self.owed.read(now) - others * (now - self.looked)
+        let_in = room >= needs
         if let_in != counted and self.counter.there:
             self.owed.add(now, units if let_in else -units)
-        return self.take(now, units, alone=True) if let_in else self.slice.wait(now, needs)
+        return self.take(now, units, alone=True) if let_in else math.ceil((needs - room) / rate * SECOND)
 
     def call(self) -> Generator:
         """One call at a time; all that arrive meanwhile share it."""
@@ -252,7 +261,7 @@
         started, sent = self.epoch * self.lasts, now
         got: Total = yield Add(self.name, amount * math.exp((sent - started) / self.life), NAME_LIFE)
         now = self.clock.now_us
-        self.counter.heard(now, got.tally)
+        self.counter.heard(now, got.tally, sent)
         if got.tally is not Tally.ADDED:
             self.owed.add(now, amount - units if got.tally is Tally.TURNED_AWAY else 0.0)
             return got.tally
@@ -260,14 +269,13 @@
         before = got.total * math.exp((started - now) / self.life) - amount
         if before < 0.99 * self.own.read(now) - 0.1:
             self.disown(now)  # the count was emptied
-        # A count that was emptied or has a new name tells less than what we know: then that holds (guards
-        # against a second burst after a flush).
+        # A count that was emptied tells less than what we know: then that holds (guards against new bursts).
         known = self.count.read(now)
         before = max(before, known)
-        # Since our last look the store filled, the others took; it surely holds what the count leaves.
+        # Since our last look it filled, the others took; it surely holds what the count leaves.
         level = max(self.store.read(now) - (before - known), self.plan.burst - before)
         self.store.put(now, level - amount)
-        self.count.value = before + amount
+        self.looked, self.count.value = now, before + amount
         self.own.add(now, amount)
         return got.tally
 
@@ -311,35 +319,25 @@
     __slots__ = ("number", "operation", "out", "sent", "server")
 
     def __init__(self, operation: Operation, server: "Server", number: int, sent: int) -> None:
-        self.operation, self.server, self.number, self.sent = operation, server, number, sent
-        self.out = True
+        self.operation, self.server, self.number, self.sent, self.out = operation, server, number, sent, True
 
 
 class Server:
     """One server as this limiter sees it."""
 
     def __init__(self, address: str) -> None:
-        self.address = address
         self.entry: Entry | None = None
+        self.address, self.last_sent = address, 0
         self.out: dict[Hop, None] = {}
         self.silent_from = 0  # since when hops are out and none has come back; 0: not so
         self.stretch, self.hops = Decaying(PACE_LIFE), Decaying(PACE_LIFE)
         self.good, self.ill = Decaying(HEALTH_LIFE), Decaying(HEALTH_LIFE)
         self.full: dict[str, Decaying] = {}  # times turned away of late, by plan and by category
         self.work: Decaying | None = None  # sent of late, while cold
-        self.last_sent = 0
 
     def ready(self) -> bool:
         return self.entry is not None and self.entry.state is Listed.READY
 
-    def rank(self, turn: int) -> bytes:
-        """Its place in a shuffle that all limiters of a turn agree on."""
-        return blake2b(f"{self.address} {turn}".encode(), digest_size=8).digest()
-
-    def speed(self, now: int) -> float:
-        """How fast beside the fleet; hops too slow to have come back are not in it."""
-        return ((self.hops.read(now) + SOUND) / (self.stretch.read(now) + SOUND)) ** 2
-
     def health(self, now: int, usual: float) -> float:
         good, ill = self.good.read(now), self.ill.read(now)
         health = (1 + good) / (1 + good + SICK * ill)
@@ -353,7 +351,8 @@
         return sum(max(1.0, (now - hop.sent) / usual) for hop in self.out)
 
     def standing(self, now: int, usual: float) -> float:
-        return self.speed(now) * self.health(now, usual)
+        speed = (self.hops.read(now) + SOUND) / (self.stretch.read(now) + SOUND)  # of those that came back
+        return speed**2 * self.health(now, usual)
 
 
 class Fleet:
@@ -369,20 +368,23 @@
         self.lasted, self.landings = Decaying(STEER_LIFE), Decaying(STEER_LIFE)
 
     def listed(self, entries: list[Entry], whole: bool) -> None:
-        if whole:
-            for server in self.servers.values():
-                server.entry = None
+        now = self.clock.now_us
+        for server in self.servers.values() if whole else ():
+            server.entry = None
         for entry in entries:
             server = self.servers.setdefault(entry.server, Server(entry.server))
             old, server.entry = server.entry, entry
             if entry.started_us and (old is None or old.started_us != entry.started_us):
                 server.work = Decaying(self.duties.fall_us)
                 server.silent_from, server.ill.value = 0, 0.0
+        # One that is gone is forgotten when nothing of it is to come (guards memory, and the parts' sizes).
+        self.servers = {name: each for name, each in self.servers.items() if each.out or (
+            each.entry and each.entry.state is not Listed.GONE) or now - each.last_sent < NAME_LIFE}
         self.divide()
         if not self.bound:
-            self.bound = max(1.0, HOPS_FROM * len(entries) / self.post.limiters)
+            self.bound = max(1.0, HOPS_LEAST * len(entries) / self.post.limiters)
         # Fewer or colder servers carry less from now on, before any hop tells (guards those that stay).
-        was, self.warm = self.warm, sum(self.warmth(each, self.clock.now_us) for each in self.ready())
+        was, self.warm = self.warm, sum(self.warmth(each, now) for each in self.ready())
         if self.warm < was:
             self.bound = max(1.0, self.bound * self.warm / was)
 
@@ -390,18 +392,17 @@
         return [each for each in self.servers.values() if each.ready()]
 
     def divide(self) -> None:
-        """Choose this limiter's part of a large fleet: a round of limiters shares it out, each round shuffles
-        anew. Sending to all, one would know none, and all would hold more connections than servers accept."""
+        """Choose this limiter's part of a large fleet: a round of limiters shares out a shuffle of it."""
         rounds = max(1, min(len(self.servers) // PART, int(self.post.limiters / LIMITERS_FEW)))
         turn, place = divmod(self.post.index, rounds)
-        order = sorted(self.servers.values(), key=lambda each: each.rank(turn))
+        order = sorted(self.servers.values(), key=lambda each: blake2b(
+            f"{each.address} {turn}".encode(), digest_size=8).digest())
         start = place * len(order) // rounds
         ready = [each for each in order[start:] + order[:start] if each.ready()]
         self.part = ready[: -(-len(order) // rounds)]
 
     def usual(self, category: Category) -> float:
-        """us that a hop of this category lasts, on the whole."""
-        return self.paces[category.name].mean(self.clock.now_us)
+        return self.paces[category.name].mean(self.clock.now_us)  # us that a hop of it lasts, on the whole
 
     def expected(self, op: Operation) -> float:
         return self.paces[op.category.name].expected(self.clock.now_us, op.units)
@@ -418,8 +419,7 @@
         warmth = self.warmth(server, now)
         if warmth >= 1.0 or server.work is None:
             return True
-        # One now and then whatever is known, so that a fleet that is all cold gets going; so seldom that all
-        # limiters together send one in the span of the rule.
+        # One now and then, by all limiters together one in the span of the rule: a fleet all cold gets going.
         if now - server.last_sent >= self.post.limiters * self.duties.fall_us:
             return True
         rate = self.carried.read(now) / PACE_LIFE / max(1, len(self.part))
@@ -454,10 +454,9 @@
 
     def landed(self, hop: Hop, report: Report) -> None:
         server, now, category = hop.server, self.clock.now_us, hop.operation.category
-        hop.out = False
+        took, outcome, hop.out = report.took_us, report.outcome, False
         del server.out[hop]
         self.out -= 1
-        took, outcome = report.took_us, report.outcome
         if outcome in (Outcome.OK, Outcome.ERROR, Outcome.REJECTED, Outcome.FULL) or not server.out:
             server.silent_from = now if server.out else 0
         if outcome is Outcome.FULL:  # it may have room for others (guards one plan that is turned away)
@@ -475,8 +474,7 @@
         if outcome is Outcome.OK or took > usual:
             server.stretch.add(now, min(took / usual, 10.0))
             server.hops.add(now, 1)
-            # One bad server is its own trouble, and its hops say little of the fleet: by its standing beside
-            # the others, so that when all are slow together each still counts in full.
+            # A bad server's hops say little of the fleet; beside the others, so that all slow together count.
             mean = sum(each.standing(now, usual) for each in self.part) / max(1, len(self.part))
             blame = min(1.0, server.standing(now, usual) / mean) if mean else 1.0
             self.lasted.add(now, blame * min(took / category.quoted_us, 2.0))
@@ -499,12 +497,9 @@
         self.counter = Counter(desk.calls)
         self.accounts: dict[str, Account] = {}
         self.fleet = Fleet(clock, Random(seed), post, duties, categories)
-        self.held = 0  # operations waiting at the door
+        self.listed, self.held = self.fleet.listed, 0  # held: operations waiting at the door
         self.value, self.valued = Decaying(PACE_LIFE), Decaying(PACE_LIFE)
 
-    def listed(self, entries: list[Entry], whole: bool) -> None:
-        self.fleet.listed(entries, whole)
-
     def landed(self, hop: Hop, report: Report) -> None:
         account = self.account(hop.operation)
         account.open -= 1
@@ -513,9 +508,13 @@
         self.fleet.landed(hop, report)
 
     def account(self, op: Operation) -> Account:
-        if op.customer not in self.accounts:
-            self.accounts[op.customer] = Account(self.clock, self.counter, op, self.started)
-        return self.accounts[op.customer]
+        accounts, now = self.accounts, self.clock.now_us
+        account = accounts.pop(op.customer, None) or Account(self.clock, self.counter, op, self.started)
+        accounts[op.customer], account.used = account, now
+        oldest = next(iter(accounts.values()))  # the one not used for longest; each new one may push one out
+        if oldest.spent(now):
+            del accounts[oldest.customer]
+        return account
 
     def operation(self, op: Operation) -> Generator:
         account = self.account(op)
@@ -557,13 +556,11 @@
 
     def pays_beyond(self, op: Operation, account: Account) -> bool:
         """Beyond the quota: let in where that earns more than it costs and servers have room."""
-        if op.plan.beyond_earns <= op.plan.beyond_costs or self.fleet.fullness() > SHED_FROM / 2:
-            return False
-        now = self.clock.now_us
-        if account.ceiling is not None and account.ceiling.read(now) < op.units:
-            return False
-        account.take(now, op.units)
-        return True
+        now, earns = self.clock.now_us, op.plan.beyond_earns > op.plan.beyond_costs
+        pays = earns and self.fleet.fullness() <= SHED_FROM / 2 and account.ceiling.read(now) >= op.units
+        if pays:
+            account.take(now, op.units)
+        return pays
 
     def turn_back(self, op: Operation, wait: float | None) -> Generator:
         if not op.over:
--- a/lapisgrade/net/counter.py
+++ b/lapisgrade/net/counter.py
@@ -1,7 +1,6 @@
 """Calls to the counter, in RESP2, one behind another on one connection."""
 
 import asyncio
-import math
 import re
 from collections import Counter as Counts
 from collections import deque
@@ -19,6 +18,7 @@
     rb"\$(?P<size>\d{1,2})\r\n(?P<total>[-+]?(?:\d+\.?\d*|\.\d+)(?:[eE][-+]?\d{1,3})?)\r\n"
     rb"|-(?P<error>[^\r\n]{1,256})\r\n"
 )
+MOST_TOTAL = 1e15  # far past what all limiters could add; more would not be a number to reckon with
 _BEGUN = re.compile(rb"(?:\$(?:\d{1,2}(?:\r(?:\n(?:[-+.\deE]{1,64}\r?)?)?)?)?|-[^\r\n]{0,256}\r?)?")
 
 
@@ -120,7 +120,7 @@
             total = 0.0
             if answer["total"] is not None:
                 total = float(answer["total"])
-                if len(answer["total"]) != int(answer["size"]) or not math.isfinite(total):
+                if len(answer["total"]) != int(answer["size"]) or not abs(total) < MOST_TOTAL:
                     raise Garbled(f"no total: {answer[0][:80]!r}")
                 ending = Ending.ANSWERED
             else:
--- a/lapisgrade/net/hops.py
+++ b/lapisgrade/net/hops.py
@@ -103,7 +103,8 @@
         if self.hop is None:
             self.end(Ending.IDLE)  # nothing was asked
             return
-        self._pool.heard[self.server] = self._pool.now()
+        if self._current():
+            self._pool.heard[self.server] = self._pool.now()
         try:
             message = self._parser.feed(chunk)
         except Garbled as wrong:
@@ -215,6 +216,11 @@
 
     def known(self, addresses: dict[str, tuple[str, int] | None]) -> None:
         """Where servers listen; None for one that wants nothing new."""
+        # An address passed on is the new server's alone (guards it, cold, against the old one's work).
+        owners = {address: server for server, address in addresses.items() if address is not None}
+        for server, address in self.addresses.items():
+            if owners.get(address, server) != server and server not in addresses:
+                addresses = {**addresses, server: None}
         for server, address in addresses.items():
             if address is not None:
                 self.addresses[server] = address
@@ -222,6 +228,10 @@
                 self.addresses.pop(server, None)
             for link in [each for each in self._idle.get(server, []) if not each.usable()]:
                 link.end(Ending.IDLE)
+            if address is None:  # guards memory
+                self.heard.pop(server, None)
+                if not self._idle.get(server):
+                    self._idle.pop(server, None)
 
     def close(self) -> None:
         """The end: all that is out is called off."""
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -3,7 +3,8 @@
 import pytest
 from helpers import CATEGORIES, PLANS, SECOND, World
 
-from lapisgrade.interface import Listed, Outcome, Report, Verdict
+from lapisgrade.decide import Counter
+from lapisgrade.interface import Entry, Listed, Outcome, Report, Tally, Verdict
 
 READY, DRAINING, GONE = Listed.READY, Listed.DRAINING, Listed.GONE
 
@@ -265,3 +266,55 @@
         world.arrive(world.random.randrange(3), 0, 3, units=2)
         world.run(world.now + 100_000)
     assert len(world.ran) > 300 * PLANS[3].rate / 20
+
+
+def test_a_crowded_counter_is_asked_for_what_it_can_count():
+    """Four limiters want 400 calls a second of one that takes 150: most that go out must be answered."""
+    now, free, answered, silent, due = SECOND, 0, 0, 0, []
+    counters = [Counter(True) for _ in range(4)]
+    while now < 20 * SECOND:
+        now += 2_500
+        for when, counter, *heard in [each for each in due if each[0] <= now]:
+            counter.heard(when, *heard)
+        due = [each for each in due if each[0] > now]
+        counter = counters[now // 2_500 % 4]
+        if counter.asks(now):
+            free = max(now, free) + SECOND // 150
+            in_time = free - now <= 30_000
+            answered += in_time
+            silent += not in_time
+            due.append((min(free, now + 30_000), counter, Tally.ADDED if in_time else Tally.SILENT, now))
+    assert answered > 70 * 20 and silent < 0.12 * answered
+
+
+def test_a_skipped_call_goes_by_the_room_last_told():
+    """A customer gathered on one limiter, whose slice is half its quota, gets all of it in a crowd."""
+    world = World(1, limiters=3, chances=(1, 0, 0, 0, 0, 0))
+    world.arrive(0, plan=3)
+    world.run(world.now + SECOND)
+    gate = world.gates[0]
+    gate.module.counter.asks, gate.module.fleet.bound = lambda now: False, 99.0
+    for _ in range(12):
+        world.arrive(0, plan=3)
+    world.run(world.now + 2 * SECOND)
+    finished = [answer for _, answer, _ in world.answers if answer is Outcome.OK]
+    assert len(finished) == 13
+    for _ in range(20):
+        world.arrive(0, plan=3)
+    world.run(world.now + SECOND)
+    assert sum(answer is Outcome.OK for _, answer, _ in world.answers) <= 13 + 14  # no more than the quota
+
+
+def test_what_is_gone_is_forgotten():
+    world = World(2, chances=(1, 0, 0, 0, 0, 0))
+    for i in range(400):
+        world.arrive(i % 3, plan=i % 4, customer=f"once {i}")
+        if i % 4 == 0:
+            world.entries[f"t{i}"] = Entry(f"t{i}", Listed.READY, "z0", 0, 1.0, "", world.now)
+            world.list(**{f"t{i}": Listed.READY})
+        if i % 4 == 3:
+            world.list(**{f"t{i - 3}": Listed.GONE})
+        world.run(world.now + SECOND // 2)
+    for gate in world.gates:
+        assert len(gate.module.accounts) < 60
+        assert len(gate.module.fleet.servers) < 60
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -431,6 +431,21 @@
     backend.close()
 
 
+@on_loopback
+async def test_an_address_passed_on_is_the_new_servers_alone_and_the_old_one_is_forgotten():
+    backend = await Backend().open()
+    made, landed, now = pool(backend.port)
+    made.send(Hop(now))
+    assert (await landed.get()).ending is Ending.ANSWERED
+    made.known({"new": ("127.0.0.1", backend.port)})  # before the old one is told to be gone
+    made.send(Hop(now))
+    assert (await landed.get()).ending is Ending.WITHHELD
+    made.send(Hop(now, server="new"))
+    assert (await landed.get()).ending is Ending.ANSWERED and made.counts["server connections"] == 2
+    assert list(made.addresses) == list(made.heard) == list(made._idle) == ["new"]
+    backend.close()
+
+
 @on_loopback
 async def test_a_silent_server_must_take_a_new_connection_first():
     backend = await Backend(0.1).open()
