--- a/lapisgrade/net/counter.py
+++ b/lapisgrade/net/counter.py
@@ -11,7 +11,7 @@
 from lapisgrade.net import SECOND
 from lapisgrade.net.ending import Ending
 from lapisgrade.net.events import Counted, Event
-from lapisgrade.net.http import CHUNK, Garbled, late, stale, steady
+from lapisgrade.net.http import CHUNK, Garbled, Reader, connect, late, stale, steady
 
 # A whole answer, and what may yet become one. A total that can be read is true; anything else tells nothing.
 _ANSWER = re.compile(
@@ -45,7 +45,7 @@
         self._desk, self._address = desk, address
         self.waiting: deque[Call] = deque()
         self.out: deque[Call] = deque()  # written, not answered
-        self._reader: asyncio.StreamReader | None = None
+        self._reader: Reader | None = None
         self._writer: asyncio.StreamWriter | None = None
         self._heard = 0.0  # when it last brought something, or had nothing to bring
         self._buffer = b""
@@ -76,7 +76,7 @@
     async def _run(self) -> None:
         try:
             async with asyncio.timeout(self._desk.dial):
-                reader, writer = await asyncio.open_connection(*self._address)
+                reader, writer = await connect(*self._address)
         except TimeoutError:
             return self.end(Ending.NEVER_UP)
         except OSError:
--- a/lapisgrade/net/hops.py
+++ b/lapisgrade/net/hops.py
@@ -11,7 +11,7 @@
 from lapisgrade.net import SECOND
 from lapisgrade.net.ending import Ending
 from lapisgrade.net.events import Asked, Event, Landed
-from lapisgrade.net.http import CHUNK, Garbled, Message, Parser, late, stale, steady
+from lapisgrade.net.http import CHUNK, Garbled, Message, Parser, Reader, connect, late, stale, steady
 
 
 _ONLY_NOW = (408, 425, 429)  # 4xx that tell of the moment, not of the request
@@ -29,7 +29,7 @@
         self._pool, self.server, self.hop, self.idle_from, self.closed = pool, server, hop, 0, False
         self._address = pool.addresses[server]
         self._parser: Parser | None = None
-        self._reader: asyncio.StreamReader | None = None
+        self._reader: Reader | None = None
         self._writer: asyncio.StreamWriter | None = None
         self._unwritten = False
         self._timer = pool.timer(hop.operation.ends_us, self._overdue)
@@ -39,7 +39,7 @@
         pool = self._pool
         try:
             async with asyncio.timeout(pool.lines.dial_us / SECOND):
-                self._reader, self._writer = await asyncio.open_connection(*self._address)
+                self._reader, self._writer = await connect(*self._address)
         except TimeoutError:
             return self.end(Ending.NEVER_UP)
         except OSError:
--- a/lapisgrade/net/http.py
+++ b/lapisgrade/net/http.py
@@ -21,13 +21,37 @@
     writer.transport.max_size = CHUNK
 
 
-def stale(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
-    """Whether the other side has closed a connection on which nothing is due, as far as this machine knows.
+class Reader(asyncio.StreamReader):
+    """A stream that tells how much has come of it and was not read yet."""
+
+    unread = 0  # bytes
+
+    def feed_data(self, data: bytes) -> None:
+        self.unread += len(data)
+        super().feed_data(data)
+
+    async def read(self, n: int = -1) -> bytes:
+        data = await super().read(n)
+        self.unread -= len(data)
+        return data
+
+
+async def connect(host: str, port: int) -> tuple[Reader, asyncio.StreamWriter]:
+    """Open a connection, as asyncio does, with a stream that `stale` can look into."""
+    loop = asyncio.get_running_loop()
+    reader = Reader(loop=loop)
+    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    transport, _ = await loop.create_connection(lambda: protocol, host, port)
+    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+
+
+def stale(reader: Reader, writer: asyncio.StreamWriter) -> bool:
+    """Whether a connection on which nothing is due has ended or brought something, as far as we know.
 
     What is written to it then may have run, for all that we know (guards operations that must not repeat, and
-    counts that must not be added twice).
+    counts that must not be added twice); and what it brought would be taken for the next answer.
     """
-    if writer.is_closing() or reader.at_eof():
+    if writer.is_closing() or reader.at_eof() or reader.unread:
         return True
     return bool(select.select([writer.get_extra_info("socket")], [], [], 0)[0])
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -387,16 +387,14 @@
         await asyncio.sleep(30)
 
     made, landed, now = pool(1, dial=0.1)
-    real, asyncio.open_connection = asyncio.open_connection, lambda *_: nobody()
-    try:
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr("lapisgrade.net.hops.connect", lambda *_: nobody())
         made.send(Hop(now))
         assert (await landed.get()).ending is Ending.NEVER_UP
         hop = Hop(now)
         made.send(hop)
         made.cancel(hop)
         assert (await landed.get()).ending is Ending.WITHHELD
-    finally:
-        asyncio.open_connection = real
 
 
 @on_loopback
@@ -431,6 +429,26 @@
     backend.close()
 
 
+@on_loopback
+async def test_a_second_answer_that_comes_later_is_nobodys():
+    """It lies read by asyncio, but not by us, when the connection is wanted for the next hop."""
+    backend = await Backend().open()
+    made, landed, now = pool(backend.port)
+    made.send(Hop(now))
+    assert (await landed.get()).ending is Ending.ANSWERED
+    backend.writers[0].write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfor ")
+    link = made._idle["s"][0]
+    for _ in range(1000):
+        if link._reader.unread or not made._idle["s"]:
+            break
+        await asyncio.sleep(0)
+    made.send(Hop(now, body=b"two"))
+    event = await landed.get()
+    assert event.ending is Ending.ANSWERED and b"".join(event.message.body) == b"for two"
+    assert made.counts["server connections"] == 2
+    backend.close()
+
+
 @on_loopback
 async def test_an_address_passed_on_is_the_new_servers_alone_and_the_old_one_is_forgotten():
     backend = await Backend().open()
