Connections at rest leave room for those that ask; an ending limiter takes no new ones

Checked: counters each second: 192 clients' connections held from the third second on, 64 silent, 125 to 128 at rest, the third of the descriptors that clients may hold; 1425 of 3300 tries reached a limiter (net/front.py REST of 3 s). Tests: connections at rest leave room; a limiter ends under one that insists.

--- a/lapisgrade/net/front.py
+++ b/lapisgrade/net/front.py
@@ -28,7 +28,8 @@
 # The protocol's figures: a connection with no open request may be closed after 2 s, and one that brings no
 # whole request is owed an error or its end within 3 s.
 ASK = 2.0  # s from connecting, or from a request's first byte, in which a whole request must have come
-REST = 3.0  # s that a connection may stand idle after an answer; clients that ask again do so sooner
+REST = 2.0  # s that a connection may stand idle after an answer; clients that ask again do so sooner
+RESTING = 4  # the part of all clients' connections that may be at rest for that long
 LOOK = 0.2  # s between looks for either
 SURELY = 0.2  # s from connecting after which a client that means to ask has asked
 ACCEPTS = 16  # connections taken in one turn of the loop, before any other must make room for them
@@ -157,7 +158,7 @@
     def _take(self, message: Message) -> None:
         front = self._front
         if message.head.target == front.UP:
-            self.reply(200, [], 0, last=message.last)
+            self.reply(503 if front.ending else 200, [], 0, last=message.last)
             return self._next()
         if self.unwanted:
             return self.reply(503, [], 0, last=True, ending=Ending.TURNED_AWAY)
@@ -188,6 +189,7 @@
         self.fresh: dict[Client, float] = {}  # no whole request has come yet
         self.idle: dict[Client, float] = {}  # all that was asked is answered
         self._were_idle: list[Client] = []
+        self.ending = False  # who asks whether we are up is told that we are not
         self.closing = False  # each answer is its connection's last from now on
         self._server: asyncio.Server | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -228,8 +230,12 @@
         now = loop.time()
         for client in [each for each, since in self.fresh.items() if since < now - ASK]:
             client.overdue()
-        for client in [each for each, since in self.idle.items() if since < now - REST]:
-            client.close(Ending.IDLE)
+        # Those before us hold so many connections at most, and one at rest takes the place of one that asks:
+        # beyond a few, the longest at rest go sooner (guards against clients that ask once and stay).
+        many = len(self.idle) - self._most // RESTING
+        for i, (client, since) in enumerate(list(self.idle.items())):
+            if since < now - (SURELY if i < many else REST):
+                client.close(Ending.IDLE)
 
     def busy(self, client: Client) -> None:
         self.fresh.pop(client, None)
@@ -243,6 +249,10 @@
         self.clients.pop(client, None)
         self.busy(client)
 
+    def shut(self) -> None:
+        """Take no new connections (guards the end against those who go on connecting)."""
+        self._server.close()
+
     def close_idle(self) -> None:
         """From now on connections end with their answers; those idle since the last such call end now."""
         self.closing = True
--- a/lapisgrade/net/service.py
+++ b/lapisgrade/net/service.py
@@ -82,7 +82,9 @@
         await self._front.listen(self._listen)
         try:
             await self._end.wait()
+            self._front.ending = True
             await asyncio.sleep(COMING)
+            self._front.shut()
             self._front.close_idle()
             while self._front.clients or self.host.owed:
                 await asyncio.sleep(LOOK)
