Stand-ins for counter, discovery and servers; a demo and an open-loop load tool

Change: lapisgrade/standins (RESP2 counter on hiredis, discovery with watches, a pool of HTTP/1.1 servers with capacity, warm-up, log-normal times, drain and kill), lapisgrade/lab/load (a pure schedule of open-loop arrivals, a client that counts latency from the due time in HdrHistograms), lapisgrade/cli on click (serve, demo, standins, load), a sample configuration under deploy/. None of it is imported by python -m lapisgrade.

--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,16 @@
 # Build, test, lint and run; the same commands that CI and the operators use.
 PY = .venv/bin/python
 
-.PHONY: build lint test check run clean
+CONFIG ?= deploy/sample.json
+
+.PHONY: build lint test check run demo standins clean
 
 build: .venv
 
-.venv: requirements.txt
+.venv: requirements.txt pyproject.toml
 	test -d .venv || python3 -m venv .venv
 	.venv/bin/pip -q install -r requirements.txt
+	.venv/bin/pip -q install --no-deps -e .
 	touch .venv
 
 lint: build
@@ -18,9 +21,17 @@
 
 check: lint test
 
-# One limiter, as told by the file CONFIG: make run CONFIG=config.json
+# One limiter, as told by the file CONFIG; the sample wants `make standins` running beside it
 run: build
 	ROUTER_CONFIG=$(CONFIG) exec $(PY) -m lapisgrade
 
+# Counter, discovery and servers at the sample's addresses, until Ctrl-C
+standins: build
+	.venv/bin/lapisgrade standins
+
+# Stand-ins and two limiters in one process, ten seconds of load, the counts
+demo: build
+	.venv/bin/lapisgrade demo --load
+
 clean:
 	rm -rf .venv .pytest_cache .ruff_cache
--- /dev/null
+++ b/lapisgrade/standins/site.py
@@ -0,0 +1,143 @@
+"""A whole small site in one process on loopback: counter, discovery, servers and limiters, each ours.
+
+The limiters are the real ones (`lapisgrade.net.service.Service`), told by the sample configuration with the
+addresses of the stand-ins filled in. Ports are chosen free by the system unless asked for; `Site.where()`
+says which were taken.
+"""
+
+import asyncio
+import contextlib
+import copy
+import json
+import socket
+from dataclasses import dataclass, field
+from importlib import resources
+from typing import Any
+
+from lapisgrade.standins.counter import Counter
+from lapisgrade.standins.discovery import Discovery, Row
+from lapisgrade.standins.servers import Knobs, Pool
+
+UP_S = 5.0  # how long a limiter may take to answer `GET /up` before the site gives up starting
+LOOK_S = 0.02  # between looks whether a limiter is up
+
+
+def sample() -> dict[str, Any]:
+    """The sample configuration shipped with the package (also `deploy/sample.json`)."""
+    return json.loads(resources.files("lapisgrade.standins").joinpath("sample.json").read_text("utf-8"))
+
+
+def free_port(host: str = "127.0.0.1") -> int:
+    """A port that nothing listens on just now."""
+    with socket.create_server((host, 0)) as probe:
+        return probe.getsockname()[1]
+
+
+@dataclass(slots=True)
+class Plan:
+    """What the site is made of."""
+
+    limiters: int = 2
+    servers: int = 4
+    knobs: Knobs = field(default_factory=Knobs)
+    seed: int = 1
+    template: dict[str, Any] | None = None  # the limiters' configuration; the sample where None
+    ports: tuple[int, int, int] = (0, 0, 0)  # counter, discovery, first limiter; 0 for any free port
+
+
+class Site:
+    """`async with Site(plan) as site:` starts everything and ends it in turn, limiters first."""
+
+    def __init__(self, plan: Plan) -> None:
+        self.plan = plan
+        self.counter = Counter(port=plan.ports[0])
+        self.discovery = Discovery(port=plan.ports[1])
+        self.pool = Pool(plan.servers, plan.knobs, plan.seed)
+        self.services: list = []
+        self.listens: list[tuple[str, int]] = []
+        self._runs: list[asyncio.Task] = []
+
+    async def __aenter__(self) -> "Site":
+        await self.counter.open()
+        await self.discovery.open()
+        await self.pool.open()
+        for i, server in enumerate(self.pool.servers):
+            self.discovery.put(Row(server.name, server.address, cell=i % 3))
+        from lapisgrade.net.service import Service  # the limiter itself, only when a site is started
+
+        for i in range(self.plan.limiters):
+            port = self.plan.ports[2] + i if self.plan.ports[2] else free_port()
+            told = self.told(i, port)
+            service = Service(told)
+            self.services.append(service)
+            self.listens.append(("127.0.0.1", port))
+            self._runs.append(asyncio.create_task(service.run()))
+        for address in self.listens:
+            await up(address, self._runs)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.end_limiters()
+        await self.pool.close()
+        await self.discovery.close()
+        await self.counter.close()
+
+    async def end_limiters(self) -> None:
+        """Tell each limiter to end, and wait until each has answered all that it owes."""
+        for service in self.services:
+            service.end()
+        if self._runs:
+            await asyncio.wait(self._runs)
+        self._runs = []
+
+    def told(self, index: int, port: int) -> dict[str, Any]:
+        """The configuration of limiter `index`, listening at `port`."""
+        told = copy.deepcopy(self.plan.template or sample())
+        told["name"] = f"{told.get('name', 'lg')}-{index}"
+        told["listen"] = f"127.0.0.1:{port}"
+        told["discovery"], told["counter"] = self.discovery.address, self.counter.address
+        told["known"] = self.discovery.whole()
+        told["seed"] = f"{(self.plan.seed * 1_000_003 + index) % (1 << 64):016x}"
+        settings = told.setdefault("settings", {})
+        settings["SelfIndex"], settings["NInstances"] = index, self.plan.limiters
+        return told
+
+    def where(self) -> list[str]:
+        """Lines that say where each part listens."""
+        return [
+            f"counter    {self.counter.address}",
+            f"discovery  {self.discovery.address}",
+            *(f"server     {server.name} {server.address}" for server in self.pool.servers),
+            *(f"limiter    {host}:{port}   (send requests here)" for host, port in self.listens),
+        ]
+
+    async def leave(self, index: int, grace_s: float) -> None:
+        """Server `index` drains, is gone from discovery after `grace_s`, and then dies."""
+        server = self.pool.servers[index]
+        server.drain()
+        self.discovery.drain(server.name)
+        await asyncio.sleep(grace_s)
+        self.discovery.remove(server.name)
+        await server.kill()
+
+
+async def up(address: tuple[str, int], runs: list[asyncio.Task]) -> None:
+    """Wait until the limiter at `address` answers `GET /up` with 200; RuntimeError if it ends or is slow."""
+    loop = asyncio.get_running_loop()
+    ends = loop.time() + UP_S
+    while loop.time() < ends:
+        for run in runs:
+            if run.done():
+                run.result()
+                raise RuntimeError("a limiter ended while starting")
+        with contextlib.suppress(OSError):
+            reader, writer = await asyncio.open_connection(*address)
+            try:
+                writer.write(b"GET /up HTTP/1.1\r\nHost: up\r\n\r\n")
+                first = await asyncio.wait_for(reader.readline(), 1.0)
+                if b" 200 " in first:
+                    return
+            finally:
+                writer.transport.abort()
+        await asyncio.sleep(LOOK_S)
+    raise RuntimeError(f"the limiter at {address[0]}:{address[1]} did not come up in {UP_S:g} s")
