--- a/lapisgrade/standins/servers.py
+++ b/lapisgrade/standins/servers.py
@@ -4,7 +4,7 @@
 capacity and warms up over a stated time. Service times are drawn from a log-normal law; a share of operations
 end in 500. A full queue, a draining server or a request without its id is turned away with 503 and
 `X-Not-Processed: 1` (or 404 without the id), as the protocol says. A server can be drained, killed (listener
-closed, every connection broken) or made slow, silent or failing while it runs.
+closed, every connection broken), paused whole, or made slow, silent or failing while it runs.
 """
 
 import asyncio
@@ -58,6 +58,7 @@
         self.waiting = 0
         self.started_s = time.monotonic()
         self.drained_s: float | None = None
+        self.paused_until_s = 0.0
         self.alive = False
         self._slot = asyncio.Condition()
         self._server: asyncio.Server | None = None
@@ -81,6 +82,10 @@
         share = knobs.cold_from + (1.0 - knobs.cold_from) * warm
         return max(1, math.floor(knobs.capacity * share))
 
+    def pause(self, seconds: float) -> None:
+        """Stall whole for `seconds`, as a process that stops: nothing is answered until then."""
+        self.paused_until_s = time.monotonic() + seconds
+
     def drain(self) -> None:
         """Want nothing new; finish what is at hand."""
         self.drained_s = time.monotonic()
@@ -137,6 +142,9 @@
         if knobs.silent:
             await asyncio.sleep(SILENT_S)
         await asyncio.sleep(knobs.median_s * math.exp(knobs.sigma * self.random.gauss(0.0, 1.0)))
+        stalled = self.paused_until_s - time.monotonic()
+        if stalled > 0:
+            await asyncio.sleep(stalled)
         load = (("X-Server-Load", "TEXT " + self._load(time.monotonic())),)
         if self.random.random() < knobs.error_share:
             self.counts.errors += 1
