--- a/lapisgrade/cli/main.py
+++ b/lapisgrade/cli/main.py
@@ -11,6 +11,7 @@
 import asyncio
 import contextlib
 import json
+import signal
 import sys
 
 import click
@@ -107,9 +108,12 @@
         click.echo(f"counter    {counter.address}\ndiscovery  {discovery.address}")
         for server in pool.servers:
             click.echo(f"server     {server.name} {server.address}")
-        click.echo("Ctrl-C ends them")
+        click.echo("Ctrl-C or SIGTERM ends them")
+        ending = asyncio.Event()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            asyncio.get_running_loop().add_signal_handler(number, ending.set)
         try:
-            await asyncio.Event().wait()
+            await ending.wait()
         finally:
             await pool.close()
             await discovery.close()
@@ -120,8 +124,7 @@
     except OSError as wrong:
         click.echo(f"the stand-ins could not start: {wrong.strerror or wrong}", err=True)
         sys.exit(2)
-    except KeyboardInterrupt:
-        click.echo("ended")
+    click.echo("ended")
 
 
 @cli.command()
@@ -148,8 +151,6 @@
 
     async def run() -> client.Tally:
         with contextlib.suppress(NotImplementedError):
-            import signal
-
             asyncio.get_running_loop().add_signal_handler(signal.SIGINT, tool.stop)
         return await tool.run(planned)
 
