--- a/lapisgrade/cli/main.py
+++ b/lapisgrade/cli/main.py
@@ -244,3 +244,47 @@
         sys.exit(2)
     for path in written:
         click.echo(f"written {path}")
+
+
+@lab.command("sweep")
+@click.argument("scenarios", nargs=-1, required=True, type=click.Path(dir_okay=False))
+@click.option("--sizes", default="10,100,1000", show_default=True,
+              help="limiters; servers as many, customers ten times as many, traffic in proportion")
+@click.option("--policies", default="module,local,central", show_default=True)
+@click.option("--seconds", type=float, default=None, help="in place of the scenarios'")
+def lab_sweep(scenarios, sizes, policies, seconds) -> None:
+    """Play each scenario at each size under each policy; print a Markdown table of what they reached."""
+    from lapisgrade.lab.emulator import scenario as read_scenarios
+    from lapisgrade.lab.emulator.world import World
+
+    try:
+        counts = [int(each) for each in sizes.split(",")]
+        kinds = policies.split(",")
+        if any(kind not in read_scenarios.POLICIES for kind in kinds) or min(counts) < 1:
+            raise ValueError(policies)
+    except ValueError:
+        raise click.BadParameter("sizes are whole numbers, policies among module, local, central") from None
+    click.echo("| scenario | limiters | policy | payoff share | finished | turned back | given up | lost | "
+               "overshoot p99 | p99 ms | counter calls | broken | events a s | wall s | MB |")
+    click.echo("|---" * 15 + "|")
+    for path in scenarios:
+        for size in counts:
+            for kind in kinds:
+                try:
+                    played = read_scenarios.read(path)
+                except read_scenarios.ScenarioError as wrong:
+                    click.echo(f"the scenario: {wrong}", err=True)
+                    sys.exit(2)
+                scale = size / played.limiters
+                played.rate *= scale
+                played.limiters, played.servers = size, max(1, round(played.servers * scale))
+                played.customers = max(1, round(played.customers * scale))
+                played.policy = kind
+                if seconds:
+                    played.seconds_us = round(seconds * 1_000_000)
+                r = World(played).run()
+                e = r.ends
+                click.echo(f"| {r.name} | {size} | {kind} | {r.payoff_share:.3f} | {e['finished']} | "
+                           f"{e['turned back']} | {e['given up']} | {e['lost']} | {r.overshoot['p99']:.3f} | "
+                           f"{r.latency_ms['p99']:.0f} | {r.counter_calls} | {r.broken} | "
+                           f"{r.events_per_s:,.0f} | {r.wall_s:.1f} | {r.peak_mb:.0f} |")
--- a/lapisgrade/lab/emulator/sim.py
+++ b/lapisgrade/lab/emulator/sim.py
@@ -28,8 +28,8 @@
         queue, look = self._queue, self.after_each
         while queue and queue[0][0] <= until_us:
             self.now, _, call, args = heapq.heappop(queue)
+            self.events += 1  # the step being carried out, numbered from 1
             call(*args)
-            self.events += 1
             if look is not None:
                 look()
         self.now = max(self.now, until_us)
