Stand-ins share one listener: open, address, cut and close written once

Change: lapisgrade/standins/listener.py; the three stand-ins build on it; the counter counts its connections through it and resets the one past its bound as before.

--- a/lapisgrade/standins/counter.py
+++ b/lapisgrade/standins/counter.py
@@ -8,13 +8,14 @@
 """
 
 import asyncio
-import contextlib
 import time
 from dataclasses import dataclass, field
 from enum import Enum
 
 import hiredis
 
+from lapisgrade.standins.listener import Listener
+
 LONGEST_LIFE_MS = 60_000  # the protocol's figure: a longer life counts as this
 MOST_AMOUNT = 1e9  # the protocol's figure: the most that one call may add
 NAME_BYTES = 64  # the protocol's figure: the longest name
@@ -113,50 +114,24 @@
     return b"$%d\r\n%b\r\n" % (len(text), text)
 
 
-class Counter:
+class Counter(Listener):
     """The stand-in counter on one loopback port. `await open()`, then `manner`, `delay_s`, `restart()`."""
 
     def __init__(self, host: str = "127.0.0.1", port: int = 0, most_connections: int = MOST_CONNECTIONS):
-        self.host, self.port, self.most_connections = host, port, most_connections
+        super().__init__(host, port)
+        self.most_connections = most_connections
         self.store, self.tally = Store(), Tally()
         self.manner, self.delay_s = Manner.WELL, 0.0
-        self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
-
-    async def open(self) -> "Counter":
-        """Listen; OSError where the port is taken."""
-        self._server = await asyncio.start_server(self._serve, self.host, self.port)
-        self.port = self._server.sockets[0].getsockname()[1]
-        return self
-
-    @property
-    def address(self) -> str:
-        return f"{self.host}:{self.port}"
 
     def restart(self) -> None:
         """Come back empty, as a counter that lost its memory: connections cut, every count forgotten."""
         self.cut()
         self.store = Store()
 
-    def cut(self) -> None:
-        """Break every open connection, as a network that fails between the limiters and the counter."""
-        for writer in list(self._writers):
-            writer.transport.abort()
-        self._writers.clear()
-
-    async def close(self) -> None:
-        self.cut()
-        if self._server is not None:
-            self._server.close()
-            with contextlib.suppress(Exception):
-                await self._server.wait_closed()
-
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if self.manner is Manner.REFUSING or len(self._writers) >= self.most_connections:
+        if self.manner is Manner.REFUSING or self.connections > self.most_connections:
             self.tally.reset_connections += 1
-            writer.transport.abort()
             return
-        self._writers.add(writer)
         parser = hiredis.Reader()
         try:
             while True:
@@ -172,9 +147,6 @@
                 await writer.drain()
         except (OSError, TimeoutError, hiredis.ProtocolError, asyncio.CancelledError):
             pass  # a cancelled handler that re-raised would be logged by asyncio's streams as an error
-        finally:
-            self._writers.discard(writer)
-            writer.transport.abort()
 
     async def _answer(self, words) -> bytes:
         if self.manner is Manner.SILENT:
--- a/lapisgrade/standins/discovery.py
+++ b/lapisgrade/standins/discovery.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from lapisgrade.standins import http
+from lapisgrade.standins.listener import Listener
 
 LONGEST_WATCH_MS = 60_000  # a watch waits this long at the most, whatever it asks for
 STATES = ("in_service", "terminating", "terminated")
@@ -36,36 +37,22 @@
         }
 
 
-class Discovery:
+class Discovery(Listener):
     """The stand-in discovery agent. `put`, `drain`, `remove` change the list and wake every watch."""
 
     def __init__(self, host: str = "127.0.0.1", port: int = 0) -> None:
-        self.host, self.port = host, port
+        super().__init__(host, port)
         self.generation = 1
         self.rows: dict[str, Row] = {}  # in the order they came
         self.calls = 0
         self._changed = asyncio.Event()
-        self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
 
-    async def open(self) -> "Discovery":
-        """Listen; OSError where the port is taken."""
-        self._server = await asyncio.start_server(self._serve, self.host, self.port)
-        self.port = self._server.sockets[0].getsockname()[1]
-        return self
-
-    @property
-    def address(self) -> str:
-        return f"{self.host}:{self.port}"
-
     async def close(self) -> None:
-        if self._server is not None:
-            self._server.close()
+        self.stop_listening()
         for task in list(self._tasks):
             task.cancel()
-        if self._server is not None:
-            with contextlib.suppress(Exception):
-                await self._server.wait_closed()
+        await super().close()
 
     def put(self, row: Row) -> None:
         """Name a server, or change how it is named."""
--- /dev/null
+++ b/lapisgrade/standins/listener.py
@@ -0,0 +1,55 @@
+"""What every stand-in does as a listener on loopback: listen, say where, break its connections, end."""
+
+import asyncio
+import contextlib
+
+
+class Listener:
+    """A TCP listener whose connections `_serve(reader, writer)` serves, and can all be broken at once."""
+
+    def __init__(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        self.host, self.port = host, port
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def open(self):
+        """Listen; OSError where the port is taken. Returns the stand-in itself."""
+        self._server = await asyncio.start_server(self._accept, self.host, self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    @property
+    def address(self) -> str:
+        return f"{self.host}:{self.port}"
+
+    @property
+    def connections(self) -> int:
+        return len(self._writers)
+
+    def cut(self) -> None:
+        """Break every open connection, as a network or a process that fails."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+        self._writers.clear()
+
+    def stop_listening(self) -> None:
+        if self._server is not None:
+            self._server.close()
+
+    async def close(self) -> None:
+        self.stop_listening()
+        self.cut()
+        if self._server is not None:
+            with contextlib.suppress(Exception):
+                await self._server.wait_closed()
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            await self._serve(reader, writer)
+        finally:
+            self._writers.discard(writer)
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        raise NotImplementedError
--- a/lapisgrade/standins/servers.py
+++ b/lapisgrade/standins/servers.py
@@ -15,6 +15,7 @@
 from random import Random
 
 from lapisgrade.standins import http
+from lapisgrade.standins.listener import Listener
 
 SILENT_S = 3600.0  # how long a silent server sits on an operation: longer than anyone waits
 
@@ -47,11 +48,12 @@
     after_drain: list[float] = field(default_factory=list)  # seconds after the drain at which work came
 
 
-class Server:
+class Server(Listener):
     """One stand-in server. `await open()`, then `drain()`, `kill()`, and `knobs` at any time."""
 
     def __init__(self, name: str, knobs: Knobs, seed: int, host: str = "127.0.0.1", port: int = 0) -> None:
-        self.name, self.knobs, self.host, self.port = name, knobs, host, port
+        super().__init__(host, port)
+        self.name, self.knobs = name, knobs
         self.random = Random(seed)
         self.counts = Counts()
         self.at_work = 0
@@ -61,20 +63,13 @@
         self.paused_until_s = 0.0
         self.alive = False
         self._slot = asyncio.Condition()
-        self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
 
     async def open(self) -> "Server":
         """Listen and start cold; OSError where the port is taken."""
-        self._server = await asyncio.start_server(self._serve, self.host, self.port)
-        self.port = self._server.sockets[0].getsockname()[1]
+        await super().open()
         self.started_s, self.drained_s, self.alive = time.monotonic(), None, True
         return self
 
-    @property
-    def address(self) -> str:
-        return f"{self.host}:{self.port}"
-
     def room(self, now_s: float) -> int:
         """Operations it takes at work at once by now, warming from `cold_from` of its capacity."""
         knobs = self.knobs
@@ -93,18 +88,11 @@
     async def kill(self) -> None:
         """End at once, as a machine that vanishes: no listener, every connection broken."""
         self.alive = False
-        if self._server is not None:
-            self._server.close()
-        for writer in list(self._writers):
-            writer.transport.abort()
-        self._writers.clear()
+        self.stop_listening()
+        self.cut()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._writers.add(writer)
-        try:
-            await http.serve(reader, writer, self._handle)
-        finally:
-            self._writers.discard(writer)
+        await http.serve(reader, writer, self._handle)
 
     async def _handle(self, asked: http.Asked) -> http.Reply:
         now = time.monotonic()
