--- a/lapisgrade/cli/main.py
+++ b/lapisgrade/cli/main.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import contextlib
+import csv
 import json
 import signal
 import sys
@@ -132,7 +133,8 @@
 @cli.command()
 @click.argument("targets", nargs=-1, required=True)
 @click.option("--trace", type=click.File("r"), default=None,
-              help="JSON lines of t_s, customer, category[, plan, units, timeout_s] in place of a shape")
+              help="a trace in place of a shape: CSV with a header, or JSON lines, of t_s, customer, "
+              "category[, plan, units, timeout_s]")
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--connections", type=click.IntRange(1, 10_000), default=256, show_default=True,
               help="connections to each limiter at the most")
@@ -143,7 +145,10 @@
     mix = schedule.Mix()
     if trace is not None:
         try:
-            rows = [json.loads(line) for line in trace if line.strip()]
+            if trace.name.endswith(".csv"):
+                rows = list(csv.DictReader(trace))
+            else:
+                rows = [json.loads(line) for line in trace if line.strip()]
             planned = schedule.from_trace(rows, mix)
         except (ValueError, schedule.BadShape) as wrong:
             raise click.BadParameter(str(wrong), param_hint="--trace") from None
