--- a/lapisgrade/cli/main.py
+++ b/lapisgrade/cli/main.py
@@ -16,6 +16,7 @@
 import json
 import signal
 import sys
+from dataclasses import replace
 
 import click
 
@@ -256,7 +257,8 @@
 @click.option("--sizes", default="10,100,1000", show_default=True,
               help="limiters; servers as many, customers ten times as many, traffic in proportion")
 @click.option("--policies", default="module,local,central", show_default=True)
-@click.option("--seconds", type=float, default=None, help="in place of the scenarios'")
+@click.option("--seconds", type=float, default=None,
+              help="in place of the scenarios'; their faults' times are scaled alike")
 def lab_sweep(scenarios, sizes, policies, seconds) -> None:
     """Play each scenario at each size under each policy; print a Markdown table of what they reached."""
     from lapisgrade.lab.emulator import scenario as read_scenarios
@@ -286,7 +288,12 @@
                 played.customers = max(1, round(played.customers * scale))
                 played.policy = kind
                 if seconds:
+                    shorter = seconds * 1_000_000 / played.seconds_us
                     played.seconds_us = round(seconds * 1_000_000)
+                    played.faults = [
+                        replace(f, at_us=round(f.at_us * shorter), for_us=round(f.for_us * shorter))
+                        for f in played.faults
+                    ]
                 r = World(played).run()
                 e = r.ends
                 click.echo(f"| {r.name} | {size} | {kind} | {r.payoff_share:.3f} | {e['finished']} | "
--- a/lapisgrade/lab/emulator/world.py
+++ b/lapisgrade/lab/emulator/world.py
@@ -9,7 +9,7 @@
 from random import Random
 
 from lapisgrade.decide import Limiter
-from lapisgrade.interface import Desk, Entry, Listed, Operation, Outcome, Post, Report, Total
+from lapisgrade.interface import Desk, Entry, Listed, Operation, Outcome, Post, Report, Tally, Total
 from lapisgrade.lab.emulator import model, rules
 from lapisgrade.lab.emulator.gate import Gate
 from lapisgrade.lab.emulator.metrics import Metrics, Result
@@ -251,9 +251,11 @@
     def add(self, gate: Gate, task, add) -> None:
         if abs(add.amount) > 1e9:
             self.metrics.counter_refused += 1
-        came, tally, total = self.counter.call(gate.index, add.name, add.amount, add.life_us, self.sim.now)
-        if came < 0:
-            self.sim.after(self.scenario.count_limit_us, gate.counted, task, Total(tally, 0.0))
+        now, waits = self.sim.now, self.scenario.count_limit_us
+        came, tally, total = self.counter.call(gate.index, add.name, add.amount, add.life_us, now)
+        if came < 0 or came - now > waits:
+            # As the host on sockets does: past its time-out a call is told silent; a late total is dropped.
+            self.sim.after(waits, gate.counted, task, Total(Tally.SILENT, 0.0))
         else:
             self.sim.at(came, gate.counted, task, Total(tally, total))
 
