Stand-in counter splits into halves, heals without double counts, and lies

Change: lapisgrade/standins/counter/ (store.py pure: counts, split, heal; server.py on sockets: halves dealt to connections in turn, STALE and SPOILT manners); demo.run takes a script of faults.

Measured: three tests: heal gives base plus each half's additions (10 from 5+2+3), also where a name began a new life; on loopback the halves answer 6 and 7, healed 8; two limiters under 60 a second keep every rule while the counter answers spoilt totals and is replaced by an empty one.

--- a/lapisgrade/cli/demo.py
+++ b/lapisgrade/cli/demo.py
@@ -31,8 +31,9 @@
     grace_s: float
 
 
-async def run(ask: Ask, out=click.echo) -> int:
-    """Runs the demo; 0 where all that was seen keeps the rules, 1 where not."""
+async def run(ask: Ask, out=click.echo, during=None) -> int:
+    """Runs the demo; 0 where all that was seen keeps the rules, 1 where not. `during(site)`, a coroutine
+    function, runs beside the load: tests and scripts use it to bring faults on."""
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
     async with Site(ask.plan) as site:
@@ -52,6 +53,8 @@
         tasks = [asyncio.create_task(live(site, load, out, stopping))]
         if ask.leave_at_s is not None:
             tasks.append(asyncio.create_task(leave(site, ask, out)))
+        if during is not None:
+            tasks.append(asyncio.create_task(during(site)))
         if ask.shape is not None:
             planned = schedule.plan(ask.shape, schedule.Mix(), ask.plan.seed)
             out(f"load: {len(planned)} operations over {ask.shape.seconds:g} s, shape {ask.shape.kind}")
--- /dev/null
+++ b/lapisgrade/standins/counter/server.py
@@ -0,0 +1,113 @@
+"""A counter that speaks RESP2 on loopback: `INCRTTL NAME AMOUNT LIFE_MS`, `PING`, `CLIENT`, `SELECT`.
+
+Counts are kept per name with a life from their first addition, as the platform's counter keeps them.
+Its manner can be changed while it runs, so that tests and the demo can script its faults: slow, silent,
+busy, refusing connections, stale or spoilt answers, connections cut, restarted empty, split into two halves
+that each take writes, and healed. A swap is a second `Counter` at another address.
+
+RESP2 is read with hiredis (the well-known parser of the protocol), never by hand.
+"""
+
+import asyncio
+import time
+from enum import Enum
+
+import hiredis
+
+from lapisgrade.standins.counter.store import Split, Store, Tally, answer, heal, split
+from lapisgrade.standins.listener import Listener
+
+MOST_CONNECTIONS = 32  # the protocol's figure: connections held at one address; further ones are reset
+IDLE_S = 10.0  # the protocol's figure: a connection idle for this long is closed
+READ_BYTES = 16_384  # one read; a call is far shorter
+MOST_BUFFERED = 1 << 20  # bytes of unanswered calls held for one connection before it is cut (guards a flood)
+SILENT_S = 3600.0  # how long a silent counter sits on a call: longer than anyone waits
+
+
+class Manner(Enum):
+    """How the counter answers from now on."""
+
+    WELL = "well"
+    SLOW = "slow"  # answers after `delay_s`
+    SILENT = "silent"  # reads calls and never answers
+    BUSY = "busy"  # turns every call away with -BUSY, adds nothing
+    REFUSING = "refusing"  # closes each new connection at once
+    STALE = "stale"  # adds, but answers with the total as it stood at the moment it turned stale
+    SPOILT = "spoilt"  # adds, and answers with a bulk string that is no number
+
+
+class Counter(Listener):
+    """The stand-in counter on one loopback port. `await open()`, then `manner`, `delay_s`, `restart()`."""
+
+    def __init__(self, host: str = "127.0.0.1", port: int = 0, most_connections: int = MOST_CONNECTIONS):
+        super().__init__(host, port)
+        self.most_connections = most_connections
+        self.store, self.tally = Store(), Tally()
+        self.manner, self.delay_s = Manner.WELL, 0.0
+        self.parted: Split | None = None  # while split, the halves; each connection keeps to one
+        self._accepted = 0
+        self._stale: dict[bytes, float] = {}
+
+    def restart(self) -> None:
+        """Come back empty, as a counter that lost its memory: connections cut, every count forgotten."""
+        self.cut()
+        self.store, self.parted = Store(), None
+
+    def split(self) -> None:
+        """Part into two halves that each take writes and believe themselves whole. Connections from now on
+        go to the halves in turn; those open now are cut, so that every caller meets one half or the other."""
+        self.cut()
+        self.parted = split(self.store)
+
+    def heal(self) -> None:
+        """One counter again, holding the base and what each half added since the split."""
+        if self.parted is not None:
+            self.cut()
+            self.store, self.parted = heal(self.parted), None
+
+    def turn(self, manner: Manner) -> None:
+        """Answer in `manner` from now on; a stale counter keeps the totals as they stand now."""
+        if manner is Manner.STALE:
+            self._stale = {name: count.total for name, count in self.store.counts.items()}
+        self.manner = manner
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.manner is Manner.REFUSING or self.connections > self.most_connections:
+            self.tally.reset_connections += 1
+            return
+        half = self._accepted % 2
+        self._accepted += 1
+        parser = hiredis.Reader()
+        try:
+            while True:
+                async with asyncio.timeout(IDLE_S):
+                    chunk = await reader.read(READ_BYTES)
+                if not chunk:
+                    break
+                parser.feed(chunk)
+                if parser.len() > MOST_BUFFERED:
+                    break
+                while (words := parser.gets()) is not False:
+                    writer.write(await self._answer(words, half))
+                await writer.drain()
+        except (OSError, TimeoutError, hiredis.ProtocolError, asyncio.CancelledError):
+            pass  # a cancelled handler that re-raised would be logged by asyncio's streams as an error
+
+    async def _answer(self, words, half: int) -> bytes:
+        if self.manner is Manner.SILENT:
+            await asyncio.sleep(SILENT_S)
+        if self.manner is Manner.SLOW:
+            await asyncio.sleep(self.delay_s)
+        if self.manner is Manner.BUSY:
+            self.tally.calls += 1
+            self.tally.busy += 1
+            return b"-BUSY try later\r\n"
+        store = self.store if self.parted is None else self.parted.halves[half]
+        words = words if isinstance(words, list) else [words]
+        said = answer(store, self.tally, words, time.monotonic())
+        if self.manner is Manner.SPOILT and said.startswith(b"$"):
+            return b"$5\r\nfresh\r\n"
+        if self.manner is Manner.STALE and said.startswith(b"$"):
+            text = repr(self._stale.get(words[1], 0.0)).encode()
+            return b"$%d\r\n%b\r\n" % (len(text), text)
+        return said
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -264,3 +264,53 @@
     # Nothing listens at port 9 of loopback: both operations are given up at once, none lost.
     done = runner.invoke(cli, ["load", "127.0.0.1:9", "--trace", str(tmp_path / "t.csv")])
     assert done.exit_code == 0 and "sent 2: finished 0, turned back 0, given up 2, lost 0" in done.output
+
+
+def test_a_split_counter_takes_writes_in_both_halves_and_a_heal_counts_each_once():
+    store = counter.Store()
+    store.add(b"a", 5.0, 60_000, 0.0)
+    parted = counter.split(store)
+    parted.halves[0].add(b"a", 2.0, 60_000, 1.0)
+    parted.halves[1].add(b"a", 3.0, 60_000, 1.0)
+    parted.halves[1].add(b"b", 1.0, 60_000, 1.0)
+    assert parted.halves[0].counts[b"a"].total == 7.0 and parted.halves[1].counts[b"a"].total == 8.0
+    healed = counter.heal(parted)
+    assert healed.counts[b"a"].total == 10.0 and healed.counts[b"b"].total == 1.0
+    late = counter.split(store)  # a half whose name lived out its life and began again
+    late.halves[0].add(b"a", 4.0, 1_000, 120.0)
+    assert counter.heal(late).counts[b"a"].total == 9.0
+
+
+def test_on_loopback_the_halves_answer_apart_then_as_one_and_a_stale_or_spoilt_counter_lies():
+    async def go():
+        till = await counter.Counter().open()
+        assert await call(till.port, [b"INCRTTL", b"k", b"5", b"60000"]) == b"$3\r\n5.0\r\n"
+        till.split()
+        one = await call(till.port, [b"INCRTTL", b"k", b"1", b"60000"])
+        two = await call(till.port, [b"INCRTTL", b"k", b"2", b"60000"])
+        assert (one, two) == (b"$3\r\n6.0\r\n", b"$3\r\n7.0\r\n")  # each half believes itself whole
+        till.heal()
+        assert await call(till.port, [b"INCRTTL", b"k", b"0", b"60000"]) == b"$3\r\n8.0\r\n"
+        till.turn(counter.Manner.STALE)
+        assert await call(till.port, [b"INCRTTL", b"k", b"4", b"60000"]) == b"$3\r\n8.0\r\n"
+        till.turn(counter.Manner.SPOILT)
+        assert await call(till.port, [b"INCRTTL", b"k", b"1", b"60000"]) == b"$5\r\nfresh\r\n"
+        assert till.store.counts[b"k"].total == 13.0  # lies told, but every addition was made
+        await till.close()
+
+    run(go())
+
+
+def test_limiters_keep_the_rules_while_the_counter_lies_and_is_swapped():
+    said, seen = [], []
+
+    async def faults(site):
+        await asyncio.sleep(0.8)
+        site.counter.turn(counter.Manner.SPOILT)
+        await asyncio.sleep(0.8)
+        seen.append(site.counter.tally.added)
+        site.counter.restart()  # an empty counter in its place, as a swap to a fresh one
+        site.counter.turn(counter.Manner.WELL)
+
+    assert run(demo.run(ask_demo(seconds=3.0, leave=None), said.append, faults)) == 0
+    assert seen and seen[0] > 0 and "RULE BROKEN" not in " ".join(said)
