Lab report's table shows latency percentiles, overshoot spread and spread over limiters

Change: the page's table adds p50, p99.9, overshoot p50 and max, and operations of the busiest limiter over the mean.

--- a/lapisgrade/lab/report/plots.py
+++ b/lapisgrade/lab/report/plots.py
@@ -17,7 +17,10 @@
 import matplotlib.pyplot as plt  # the backend is chosen before pyplot is loaded
 
 SERIES = ("arrived", "finished", "turned back", "given up", "lost", "front")
-FIGURES = ("payoff_share", "finished share", "p99 ms", "overshoot p99", "counter calls a s", "breaches")
+FIGURES = (
+    "payoff_share", "finished share", "p50 ms", "p99 ms", "p99.9 ms", "overshoot p50", "overshoot p99",
+    "overshoot max", "counter calls a s", "spread over limiters", "breaches",
+)
 DPI = 110
 
 
@@ -42,9 +45,14 @@
     return {
         "payoff_share": run["payoff_share"],
         "finished share": run["ends"]["finished"] / operations,
+        "p50 ms": run["latency_ms"].get("p50", 0.0),
         "p99 ms": run["latency_ms"].get("p99", 0.0),
+        "p99.9 ms": run["latency_ms"].get("p99.9", 0.0),
+        "overshoot p50": run["overshoot"].get("p50", 0.0),
         "overshoot p99": run["overshoot"].get("p99", 0.0),
+        "overshoot max": run["overshoot"].get("max", 0.0),
         "counter calls a s": run["counter_calls"] / max(run["seconds"], 1e-9),
+        "spread over limiters": run["spread"],
         "breaches": run["broken"],
     }
 
