Emulated discovery tells of servers that change at one instant in one list

Need: cold-half at 1,000 limiters had not ended after 17 minutes: half the servers vanishing sent 500 lists of one server to each of 1,000 limiters, each list taken whole by the module.

Change: World.tell gathers the servers changed at the same instant and sends one list, as a watch of discovery gives all changes since the version it knows.

--- a/lapisgrade/lab/emulator/world.py
+++ b/lapisgrade/lab/emulator/world.py
@@ -53,6 +53,7 @@
         self.held_news = False  # discovery holds what changes, while it lags wrongly
         self.news: list[Entry] = []
         self.picked: dict[int, list] = {}  # what each fault hit, by the fault's id
+        self._batches: dict[int, list[model.Server]] = {}  # news of servers, by the instant they changed
         self.customers = sc.customer_table(chance.getrandbits(64))
         for fault in sc.faults:
             self.sim.at(SECOND + fault.at_us, self.fault, fault)
@@ -265,6 +266,18 @@
         return [Entry(s.name, s.state, s.zone, s.cell, 1.0, "", s.started_us) for s in self.servers.values()]
 
     def tell(self, servers: list[model.Server]) -> None:
+        """Discovery tells of these servers: with all others that change at the same instant, in one list."""
+        now = self.sim.now
+        batch = self._batches.get(now)
+        if batch is None:
+            batch = self._batches[now] = []
+            self.sim.at(now, self._flush, now)
+        batch.extend(servers)
+
+    def _flush(self, when: int) -> None:
+        self._send_news(self._batches.pop(when))
+
+    def _send_news(self, servers: list[model.Server]) -> None:
         """Discovery tells every limiter of these servers, each after the lag and a little more."""
         entries = [Entry(s.name, s.state, s.zone, s.cell, 1.0, "", s.started_us) for s in servers]
         if self.held_news:
