--- a/lapisgrade/cli/main.py
+++ b/lapisgrade/cli/main.py
@@ -20,6 +20,7 @@
 
 import click
 
+from lapisgrade import start
 from lapisgrade.lab.load import client, schedule
 from lapisgrade.standins.servers import Knobs
 from lapisgrade.standins.site import Plan, sample
@@ -104,8 +105,8 @@
     told = sample()
 
     async def run() -> None:
-        counter = await Counter(*_address(told["counter"])).open()
-        discovery = await Discovery(*_address(told["discovery"])).open()
+        counter = await Counter(*_address(told["counter"], "counter")).open()
+        discovery = await Discovery(*_address(told["discovery"], "discovery")).open()
         pool = await Pool(servers, Knobs(), seed).open()
         for i, server in enumerate(pool.servers):
             discovery.put(Row(server.name, server.address, cell=i % 3))
@@ -162,8 +163,7 @@
             asyncio.get_running_loop().add_signal_handler(signal.SIGINT, tool.stop)
         return await tool.run(planned)
 
-    began = asyncio.run(_timed(run()))
-    tally, wall_s = began
+    tally, wall_s = asyncio.run(_timed(run()))
     for line in client.summary(tally, wall_s):
         click.echo(line)
     sys.exit(1 if tally.counts["lost"] else 0)
@@ -176,11 +176,12 @@
     return result, loop.time() - began
 
 
-def _address(text: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port) < 65_536:
-        raise click.BadParameter(f"not a host and a port: {text!r}")
-    return host, int(port)
+def _address(text: str, name: str = "target") -> tuple[str, int]:
+    """Host and port, read as the limiter reads its own addresses; a bad one is a bad parameter."""
+    try:
+        return start.address(text, name)
+    except start.Malformed as wrong:
+        raise click.BadParameter(str(wrong)) from None
 
 
 def main() -> None:
--- a/lapisgrade/lab/emulator/metrics.py
+++ b/lapisgrade/lab/emulator/metrics.py
@@ -106,10 +106,7 @@
         self.end("left")
 
     def front(self, record) -> None:
-        """Its limiter died; the front answered it."""
-        self.end("front")
-
-    def no_limiter(self, record) -> None:
+        """Its limiter died, or none of its set is alive; the front answered it."""
         self.end("front")
 
     def second(self, world) -> None:
--- a/lapisgrade/lab/emulator/world.py
+++ b/lapisgrade/lab/emulator/world.py
@@ -50,6 +50,7 @@
         self.hops: dict[int, tuple[Gate, rules.Hop, model.Job | None]] = {}
         self.number = 0
         self.surge = 1.0
+        self.arriving = True  # clients send until the scenario's time is up
         self.held_news = False  # discovery holds what changes, while it lags wrongly
         self.news: list[Entry] = []
         self.picked: dict[int, list] = {}  # what each fault hit, by the fault's id
@@ -92,8 +93,6 @@
         peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024  # the process's, in bytes on Linux
         return self.metrics.result(self, wall, peak)
 
-    arriving = True
-
     def arrive(self) -> None:
         """One operation from a client, and the next set by the clock."""
         if not self.arriving:
@@ -127,7 +126,7 @@
         record = rules.Record(op, self.number)
         self.metrics.arrived(record)
         if not live:
-            self.metrics.no_limiter(record)
+            self.metrics.front(record)  # no limiter of its set is alive: the front answers it
             return
         gate = live[self.random.randrange(len(live))]
         self.records[id(op)] = record
@@ -263,7 +262,7 @@
     # ---- discovery
 
     def entries(self) -> list[Entry]:
-        return [Entry(s.name, s.state, s.zone, s.cell, 1.0, "", s.started_us) for s in self.servers.values()]
+        return [entry(server) for server in self.servers.values()]
 
     def tell(self, servers: list[model.Server]) -> None:
         """Discovery tells of these servers: with all others that change at the same instant, in one list."""
@@ -279,7 +278,7 @@
 
     def _send_news(self, servers: list[model.Server]) -> None:
         """Discovery tells every limiter of these servers, each after the lag and a little more."""
-        entries = [Entry(s.name, s.state, s.zone, s.cell, 1.0, "", s.started_us) for s in servers]
+        entries = [entry(server) for server in servers]
         if self.held_news:
             self.news.extend(entries)
             return
@@ -335,6 +334,11 @@
         gate.listed(self.entries(), True)
 
 
+def entry(server: model.Server) -> Entry:
+    """A server as discovery lists it."""
+    return Entry(server.name, server.state, server.zone, server.cell, 1.0, "", server.started_us)
+
+
 def pick(items: list, target: str, random: Random) -> list:
     """The items a fault's target names: `all`, `N` (one), `N-M` (a range), or `share:F` (a share by
     chance)."""
