Cold servers get one operation on credit where a limiter's part is less than one

Seen: on join+vast each limiter's part holds four cold servers of seven for the 17 s they warm up, and three of the four are shut off at any time (probe on every decision, 40 limiters); refusals at the door rise from 100 to 1,100 in 2 s. Cause: cold_room (decide.py) wants this limiter's part of the budget, 0.1 s of work at the start, to hold a whole operation of 0.45 s. Alone a limiter's part holds several; split over 40 it never holds one, so all together send next to nothing. Ruled out: connections refused (none), servers turning away as full (none), the drawn odds (warmth alone would send a fifth). Change: the same part fills a store that may be overdrawn by one operation; nothing is saved up. The new test finds no cold server used without the change.

--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -334,7 +334,7 @@
         self.stretch, self.hops = Decaying(PACE_LIFE), Decaying(PACE_LIFE)
         self.good, self.ill = Decaying(HEALTH_LIFE), Decaying(HEALTH_LIFE)
         self.full: dict[str, Decaying] = {}  # times turned away of late, by plan and by category
-        self.work: Decaying | None = None  # sent of late, while cold
+        self.work: Bucket | None = None  # that it may be sent while cold, in us; below 0: sent ahead
 
     def ready(self) -> bool:
         return self.entry is not None and self.entry.state is Listed.READY
@@ -376,7 +376,7 @@
             server = self.servers.setdefault(entry.server, Server(entry.server))
             old, server.entry = server.entry, entry
             if entry.started_us and (old is None or old.started_us != entry.started_us):
-                server.work = Decaying(self.duties.fall_us)
+                server.work = Bucket(now, 0.0, 0.0, 0.0)
                 server.silent_from, server.ill.value = 0, 0.0
         # One that is gone is forgotten when nothing of it is to come (guards memory, and the parts' sizes).
         self.servers = {name: each for name, each in self.servers.items() if each.out or (
@@ -415,7 +415,7 @@
             return 1.0
         return duties.cold_from + (1 - duties.cold_from) * max(0, now - started) / duties.cold_us
 
-    def cold_room(self, server: Server, now: int, work: float) -> bool:
+    def cold_room(self, server: Server, now: int) -> bool:
         """Whether a cold server may be sent this much more, by our part of the fleet's work."""
         warmth = self.warmth(server, now)
         if warmth >= 1.0 or server.work is None:
@@ -424,18 +424,19 @@
         if now - server.last_sent >= self.post.limiters * self.duties.fall_us:
             return True
         rate = self.carried.read(now) / PACE_LIFE / max(1, len(self.part))
-        budget = COLD_SHARE * self.duties.fall_multiple * warmth * rate * self.duties.fall_us
-        return server.work.read(now) + work <= budget
+        server.work.rate = COLD_SHARE * self.duties.fall_multiple * warmth * rate * SECOND
+        # What one of many may send in that span is less than one operation: it is paid for afterwards.
+        return server.work.read(now) >= 0
 
     def fullness(self) -> float:
         return self.out / self.bound if self.bound else 1.0
 
     def draw(self, op: Operation, tried: list[Server], allowed) -> Server | None:
         """Draw one at random, odds in step with the room that each is thought to have."""
-        now, usual, work = self.clock.now_us, self.usual(op.category), self.expected(op)
+        now, usual = self.clock.now_us, self.usual(op.category)
         names, choices, odds = (op.plan.name, op.category.name), [], []
         for server in self.part:
-            if not allowed(server) or not self.cold_room(server, now, work):
+            if not allowed(server) or not self.cold_room(server, now):
                 continue
             room = server.entry.size * self.warmth(server, now) * server.standing(now, usual)
             full = min(server.full[name].read(now) if name in server.full else 0.0 for name in names)
@@ -451,7 +452,7 @@
         if not server.silent_from:
             server.silent_from = hop.sent
         if server.work is not None:
-            server.work.add(hop.sent, self.expected(hop.operation))
+            server.work.put(hop.sent, server.work.read(hop.sent) - self.expected(hop.operation))
 
     def landed(self, hop: Hop, report: Report) -> None:
         server, now, category = hop.server, self.clock.now_us, hop.operation.category
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -318,3 +318,19 @@
     for gate in world.gates:
         assert len(gate.module.accounts) < 60
         assert len(gate.module.fleet.servers) < 60
+
+
+def test_many_limiters_use_cold_servers_for_what_they_can_do():
+    """Found on sockets at size: what one of many might send a cold server is less than one operation, and
+    so all sent it next to nothing while it warmed up; warm ones were full and clients turned back."""
+    world = World(19, limiters=40, servers=24, chances=(1, 0, 0, 0, 0, 0))
+    cold = {f"s{i}" for i in range(12)}
+    for step in range(900):
+        if step == 300:
+            world.list(**dict.fromkeys(cold, GONE))
+            world.list(**dict.fromkeys(cold, READY))
+        world.arrive(step % 40, customer=f"c{step}")
+        world.run(world.now + SECOND // 50)
+    late = [sent for sent in world.ran if sent.sent > world.now - 9 * SECOND]
+    share = sum(sent.name in cold for sent in late) / len(late)
+    assert 0.15 < share < 0.45  # they hold from 0.35 to 0.83 of their capacity by then
