Operations are held at the door while those held will leave in time, not half the bound

Cause: hold (decide.py) bounds those held by a part of the bound, which for one of many limiters is one operation; but they leave one after another as hops land, three or four in the time that any may wait. Change: the next one is held while those held x a hop's usual time, over the bound, is under the time left; CROWD goes.

--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -49,7 +49,6 @@
 COLD_SHARE = 0.4  # of what a cold server may be sent; the rest is for chance and for what we don't know
 END_MARGIN = 6_000  # us before the hard stop; a few rounds of the host's clock
 OPEN_DOUBT = 0.8  # hops under a cap; the others' are known in the mean only, and a wait costs little
-CROWD = 0.5  # of the bound on hops out; with so many held, more would wait in vain and are told at once
 POLL = 10_000  # us between looks for room, while held at the door
 
 
@@ -546,10 +545,11 @@
     def hold(self, op: Operation, ready: Callable[[], bool]) -> Generator:
         """Wait at the door until it is ready, or too late, or too many wait already."""
         latest = min(self.clock.now_us + int(HOLD * op.category.quoted_us), op.ends_us - END_MARGIN)
-        held = room = False
+        held, room, usual = False, False, self.fleet.usual(op.category)
         while not op.over:
             now, room = self.clock.now_us, ready()
-            if room or now >= latest or (not held and self.held >= CROWD * self.fleet.bound):
+            # So many that are held leave, one by one, before the latest; more would wait in vain.
+            if room or now >= latest or (not held and self.held * usual >= self.fleet.bound * (latest - now)):
                 break
             self.held += not held
             held = True
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -334,3 +334,17 @@
     late = [sent for sent in world.ran if sent.sent > world.now - 9 * SECOND]
     share = sum(sent.name in cold for sent in late) / len(late)
     assert 0.15 < share < 0.45  # they hold from 0.35 to 0.83 of their capacity by then
+
+
+def test_a_small_bound_that_chance_fills_holds_what_will_leave_in_time():
+    """Found on sockets at size: with a bound of three hops one was held at a time, the rest turned back."""
+    world = World(20, limiters=12)
+    world.chance = lambda: (Outcome.OK, 120_000)
+    for step in range(30):  # one at a time goes out, for 0.12 s; each is held for 0.5 s at most
+        world.arrive(0, category=1, customer=f"c{step}")
+        world.run(world.now + 20_000)
+    at_once = sum(when < op.arrived_us + 20_000 for op, _, when in world.answers)
+    world.run(world.now + 2 * SECOND)
+    assert world.gates[0].module.fleet.bound < 2.5
+    assert finished(world) >= 15
+    assert at_once > 4  # the others would wait in vain, and are told so
