A limiter's first call to discovery is never put off, only those turned away

At fault: Turns.first, up to 6 s at 200 limiters. Change: the first call goes out at once; the time over which a call turned away falls starts at 6 s at most.

--- a/lapisgrade/net/discovery.py
+++ b/lapisgrade/net/discovery.py
@@ -31,8 +31,9 @@
     """When to ask the one service behind all agents, beside all other limiters.
 
     What it can't serve in time it works on all the same: callers who come back at once, as all do together
-    after a restart, keep it from ever serving any. So a call falls by chance into a time in which all
-    limiters' come one in half of RENEW, twice as long each time that one is turned away.
+    after a restart, keep it from ever serving any. So a call that was turned away is made again at a time by
+    chance, so that all limiters' come one in half of RENEW, and half as often with each that is turned away.
+    The first call is never put off: what it would have told counts as told.
     """
 
     __slots__ = ("_limiters", "_random", "_turned_away")
@@ -40,10 +41,6 @@
     def __init__(self, random: Random, limiters: int) -> None:
         self._random, self._limiters, self._turned_away = random, limiters, 0
 
-    def first(self) -> float:
-        """s before the first call: most limiters may have been started just now, and none knows of that."""
-        return self._random.random() * min(TOLD, self._over())
-
     def turned_away(self) -> float:
         """s before the next call."""
         over = self._over()
@@ -54,7 +51,7 @@
         self._turned_away = 0
 
     def _over(self) -> float:
-        return min(LONGEST, self._limiters * RENEW / 2 * 2**self._turned_away)
+        return min(LONGEST, min(TOLD, self._limiters * RENEW / 2) * 2**self._turned_away)
 
 
 class Discovery:
@@ -70,7 +67,7 @@
         self._watches: list[asyncio.Task] = []  # the newest last
 
     def start(self) -> None:
-        self._watch(self._turns.first())
+        self._watch(0.0)
 
     def _watch(self, after: float) -> None:
         self._watches.append(asyncio.create_task(self._follow(self._address, self._known, after)))
