A cold server's room goes by what a warm one carries; the ending signal is said

Cause: cold_room (decide.py) takes the mean over the whole part for what a warm server carries; with half of the part cold, as after a release, cold ones got about half of their share. Checked by the formula and a unit test (0.12 in place of 0.20 of a server's work a second). Separately, an exit with code 0 on soak has no known cause: the limiter now says which signal ends it.

--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -422,7 +422,8 @@
         # One now and then, by all limiters together one in the span of the rule: a fleet all cold gets going.
         if now - server.last_sent >= self.post.limiters * self.duties.fall_us:
             return True
-        rate = self.carried.read(now) / PACE_LIFE / max(1, len(self.part))
+        warm = sum(self.warmth(each, now) for each in self.part) or 1.0  # the part's, in warm servers
+        rate = self.carried.read(now) / PACE_LIFE / warm
         server.work.rate = COLD_SHARE * self.duties.fall_multiple * warmth * rate * SECOND
         # What one of many may send in that span is less than one operation: it is paid for afterwards.
         return server.work.read(now) >= 0
--- a/lapisgrade/net/service.py
+++ b/lapisgrade/net/service.py
@@ -136,8 +136,12 @@
             service.say(f"goes on as before: {wrong}")
 
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, service.end)
-    loop.add_signal_handler(signal.SIGINT, service.end)
+    def end(by: signal.Signals) -> None:
+        service.say(f"told to end by {by.name}")
+        service.end()
+
+    for each in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(each, end, each)
     loop.add_signal_handler(signal.SIGHUP, reload)
     loop.add_signal_handler(signal.SIGUSR1, service.report)
     await service.run()
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -1,9 +1,9 @@
 """The module under seeded chance, with each rule checked at each step, and a few plain cases."""
 
 import pytest
-from helpers import CATEGORIES, PLANS, SECOND, World
+from helpers import CATEGORIES, DUTIES, PLANS, SECOND, World
 
-from lapisgrade.decide import Counter
+from lapisgrade.decide import COLD_SHARE, PACE_LIFE, Counter
 from lapisgrade.interface import Entry, Listed, Outcome, Report, Tally, Verdict
 
 READY, DRAINING, GONE = Listed.READY, Listed.DRAINING, Listed.GONE
@@ -348,3 +348,18 @@
     assert world.gates[0].module.fleet.bound < 2.5
     assert finished(world) >= 15
     assert at_once > 4  # the others would wait in vain, and are told so
+
+
+def test_a_cold_servers_room_goes_by_what_a_warm_one_carries():
+    """Found on sockets at size: with half of the part cold, a mean over all halved what the cold ones got."""
+    world = World(21, limiters=1, servers=6)
+    fleet = world.gates[0].module.fleet
+    cold = ["s0", "s1", "s2"]
+    world.list(**dict.fromkeys(cold, GONE))
+    world.list(**dict.fromkeys(cold, READY))
+    fleet.carried.add(world.now, 3 * PACE_LIFE)  # three servers' full work, as three warm ones carry
+    server = fleet.servers["s0"]
+    server.last_sent = world.now
+    fleet.cold_room(server, world.now)
+    even = COLD_SHARE * DUTIES.fall_multiple * DUTIES.cold_from  # of a warm one's work
+    assert 0.8 * even < server.work.rate / SECOND < even
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -318,6 +318,7 @@
     _, said = process.communicate(timeout=5)
     assert process.returncode == 0 and "operations 4" in said and "answered 429 4" in said
     assert said.count("goes on as before: ") == 2 and "reloads 1" in said
+    assert "told to end by SIGTERM" in said
 
 
 @on_loopback
