Others' use between two looks is charged whole: quotas no longer leak with the limiters

Seen: with a fast, healthy counter a basic customer asking 1.5 times its quota through 10 limiters got 16 % over its rate, in a straight line with time (6 % through 3, 1 % through 1).

Cause: Account.add charged the bucket with the total now less the total at the last look as forgotten since (`before - known`); of what others took in x lives in between only (1 - e^-x) / x is left in it, while the bucket refills in full. Told apart by plays that change one term at a time; leases given back, the part past the allowance, the higher of two estimates and rounding ruled out. Beside it: a new name charged the own part twice (3.5 % of the quota of a customer of one limiter turned back), and hid the others at its first look; a silent call that let its operation in lowered nothing that the limiter knew; between looks at a crowded counter the others' pace decayed.

Change: the difference is taken as even use, x / (1 - e^-x) times; the own part put back is kept apart from new use; at the first look under a new name or after a flush the others went on as before; a silent call counts as taken.

The stand-in counter that is silent sees its callers go, so it is back when it is well again; a cold stand-in server's room does not hang on the rounding of the machine's clock.

--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -133,7 +133,8 @@
         self.life = max(SECOND, int(plan.burst / plan.rate * SECOND)) if plan.rate > 0 else SECOND
         self.lasts = min(EPOCH, GROWTH * self.life)  # us that an epoch lasts
         self.name, self.epoch, self.looked, self.lease, self.lease_ends = 0, -1, 0, 0.0, 0
-        self.count, self.own, self.owed = (Decaying(self.life) for _ in range(3))  # as read; our part; to add
+        # The count as read; our part of it; what is to be added to it; what of our part is to be put back.
+        self.count, self.own, self.owed, self.back = (Decaying(self.life) for _ in range(4))
         share = SLICE / self.gateways
         self.slice = Bucket(now, plan.rate * share, plan.burst * share, plan.burst * share)
         # Split evenly, and empty when this limiter starts, whatever an earlier life spent (guards rule 5).
@@ -199,20 +200,26 @@
     def alone(self, now: int, units: float, counted: bool = False) -> int | None:
         """No word from the counter: the local slice decides, and the count is told later."""
         # A full slice lets in any one, and owes the rest (guards calm customers of very many limiters).
-        needs = min(units, self.slice.burst)
-        room, rate = self.slice.read(now), self.slice.rate
+        needs, room, rate = min(units, self.slice.burst), self.slice.read(now), self.slice.rate
         if self.looked and self.counter.silent < SILENT_CALLS:
             # It is crowded, not gone: what it told of late, with the others' use as it was, says more.
             count, own = max(self.count.read(now), 1e-9), self.own.read(now)
             share = min(1.0, SLICE * max(1 / self.gateways, own / count))
-            others = max(0.0, count - own) / self.life * (now - self.looked)
             needs, rate = min(units, self.plan.burst * share), self.plan.rate * share
-            room = (self.store.read(now) - others) * share - self.owed.read(now)
+            room = min(self.plan.burst, self.filled(now) - self.went_on(now)) * share - self.owed.read(now)
         let_in = room >= needs
         if let_in != counted and self.counter.there:
             self.owed.add(now, units if let_in else -units)
         return self.take(now, units, alone=True) if let_in else math.ceil((needs - room) / rate * SECOND)
 
+    def filled(self, now: int) -> float:
+        return self.store.level + self.plan.rate * (now - self.store.at) / SECOND
+
+    def went_on(self, now: int) -> float:
+        """What the others take since the last look, at the pace that the count told of then."""
+        lives = (now - self.looked) / self.life if self.looked else 0.0
+        return max(0.0, self.count.read(now) - self.own.read(now)) * math.exp(min(GROWTH, lives)) * lives
+
     def call(self) -> Generator:
         """One call at a time; all that arrive meanwhile share it."""
         while self.queue:
@@ -225,8 +232,7 @@
                 if answer is Tally.SILENT:
                     self.owed.add(now, units - want)
                 for waiting in self.queue:
-                    waiting.counted = answer is Tally.SILENT and waiting is self.queue[0]
-                    waiting.done = True
+                    waiting.done, waiting.counted = True, answer is Tally.SILENT and waiting is self.queue[0]
                     yield Wake(waiting.operation)
                 self.queue.clear()
                 break
@@ -256,34 +262,41 @@
             self.epoch = now // self.lasts
             digest = blake2b(f"{self.customer} {self.epoch}".encode(), digest_size=8).digest()
             self.name = int.from_bytes(digest, "big") >> 1
-            self.disown(now)
-        amount, self.owed.value = units + self.owed.read(now), 0.0
+            self.back.add(now, self.own.read(now) - self.back.read(now))  # each puts its own part back
+        # What is put back was taken before, and is no new use; what is owed is new to all.
+        new, back = units + self.owed.read(now), self.back.read(now)
+        self.owed.value = self.back.value = 0.0
         started, sent = self.epoch * self.lasts, now
-        got: Total = yield Add(self.name, amount * math.exp((sent - started) / self.life), NAME_LIFE)
+        got: Total = yield Add(self.name, (new + back) * math.exp((sent - started) / self.life), NAME_LIFE)
         now = self.clock.now_us
         self.counter.heard(now, got.tally, sent)
-        if got.tally is not Tally.ADDED:
-            self.owed.add(now, amount - units if got.tally is Tally.TURNED_AWAY else 0.0)
+        if got.tally is Tally.TURNED_AWAY:
+            self.owed.add(now, new - units)
+            self.back.add(now, back)
             return got.tally
-        amount *= math.exp((sent - now) / self.life)
-        before = got.total * math.exp((started - now) / self.life) - amount
-        if before < 0.99 * self.own.read(now) - 0.1:
-            self.disown(now)  # the count was emptied
-        # A count that was emptied tells less than what we know: then that holds (guards against new bursts).
-        known = self.count.read(now)
-        before = max(before, known)
-        # Since our last look it filled, the others took; it surely holds what the count leaves.
-        level = max(self.store.read(now) - (before - known), self.plan.burst - before)
-        self.store.put(now, level - amount)
-        self.looked, self.count.value = now, before + amount
-        self.own.add(now, amount)
+        new, back = (each * math.exp((sent - now) / self.life) for each in (new, back))
+        # A silent call was mostly counted: what it carried is taken, and what we know holds.
+        before, level = self.count.read(now), self.filled(now)
+        if got.tally is Tally.ADDED:
+            known, before = before, got.total * math.exp((started - now) / self.life) - new
+            if before < 0.99 * self.own.read(now) - 0.1:
+                started = now  # the count was emptied, but for this
+                self.back.add(now, self.own.read(now) - back)
+            # Of the others' use since our last look a part is forgotten: taken as even it was so much more
+            # (guards against a leak that grows with the limiters). A count emptied, or not put back yet, tells
+            # less than we know: then they went on as before. A store surely holds what the count leaves.
+            lives = (now - self.looked) / self.life if self.looked else 0.0
+            forgot = lives / -math.expm1(-lives) if lives > 0 else 1.0
+            others = (before - known) * forgot
+            if before < known:
+                others = self.went_on(now) if self.looked < started else 0.0
+                before = known + others / forgot
+            level, self.looked = max(level - others, self.plan.burst - before), now
+        self.store.put(now, min(self.plan.burst, level) - new)
+        self.count.value = before + new
+        self.own.add(now, new)
         return got.tally
 
-    def disown(self, now: int) -> None:
-        """Our part is not in the count: each limiter puts its own back (guards a flush and a new name)."""
-        self.owed.add(now, self.own.read(now))
-        self.own.value = 0.0
-
 
 class Pace:
     """What hops of one category took of late."""
--- a/lapisgrade/lab/emulator/metrics.py
+++ b/lapisgrade/lab/emulator/metrics.py
@@ -10,6 +10,8 @@
 
 from hdrh.histogram import HdrHistogram
 
+from lapisgrade.lab import quota
+
 SECOND = 1_000_000
 ENDS = ("finished", "turned back", "given up", "lost", "left", "front")
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
@@ -35,6 +37,7 @@
     nearest_ceiling: float
     most_cold_share: float
     overshoot: dict[str, float]  # of customers' quotas: admitted units beyond them, as shares
+    quotas: dict[str, float]  # over all windows, and short of quota: see lab/quota.py
     counter_calls: int
     counter_unanswered: int
     hops: int
@@ -63,6 +66,7 @@
     advised: int = 0
     counter_refused: int = 0
     by_limiter: dict[int, int] = field(default_factory=dict)
+    quotas: dict[str, quota.Quota] = field(default_factory=dict)  # by customer, as sent on
     admitted: dict[str, float] = field(default_factory=dict)  # units finished, per customer
     series: dict[str, list[int]] = field(default_factory=lambda: {name: [] for name in ("arrived", *ENDS)})
     _this_second: dict[str, int] = field(default_factory=lambda: dict.fromkeys(("arrived", *ENDS), 0))
@@ -73,6 +77,17 @@
         self._this_second["arrived"] += 1
         op = record.op
         self.possible += op.category.payoff * op.units
+        self.quota(op).asked(op.units, op.arrived_us)
+
+    def quota(self, op) -> quota.Quota:
+        kept = self.quotas.get(op.customer)
+        if kept is None:
+            kept = self.quotas[op.customer] = quota.Quota(op.plan.rate, op.plan.burst, SECOND)
+        return kept
+
+    def let_in(self, record, now_us: int) -> None:
+        """Its first hop goes out."""
+        self.quota(record.op).let_in(record.op.units, now_us)
 
     def end(self, name: str) -> None:
         self.ends[name] += 1
@@ -157,6 +172,7 @@
             world.rules.nearest_ceiling,
             world.rules.most_cold_share,
             self.overshoot(world),
+            quota.summary(list(self.quotas.values()), sc.seconds_us / SECOND),
             world.counter.counts["calls"],
             world.counter.counts["unanswered"],
             self.hops,
--- a/lapisgrade/lab/emulator/scenario.py
+++ b/lapisgrade/lab/emulator/scenario.py
@@ -43,8 +43,25 @@
     "surge",
     "discovery_stale",
 )
-TARGET = re.compile(r"all|\d+(-\d+)?|share:(0(\.\d+)?|1(\.0+)?)")
-SKEW = 1.2  # Pareto shape of the customers' weights: a few send several times the mean, as fleets see
+# What only real processes have (`lapisgrade lab fleet run`).
+PROCESS_KINDS = (
+    "limiter_term",
+    "limiter_pause",
+    "counter_swap",
+    "link_cut",
+    "link_cut_there",
+    "link_cut_back",
+    "link_reset",
+    "link_slow",
+    "partition",
+    "disk_lost",
+    "disk_truncated",
+    "disk_flipped",
+    "disk_full",
+)
+LINKS = ("counter", "discovery", "server")
+TARGET = re.compile(r"all|\d+(-\d+)?|share:(0(\.\d+)?|1(\.0+)?)|group:[\w-]+")
+SKEW = 1.2  # Pareto shape of the customers' weights: a few send several times the mean; 0: all alike
 
 
 class ScenarioError(ValueError):
@@ -58,6 +75,22 @@
     target: str = "all"
     for_us: int = 0  # undone after this long; 0: not undone
     factor: float = 1.0
+    link: str = ""  # of LINKS, from the target's limiters; "": all of them
+    delay_us: int = 0  # of a slow link
+    jitter_us: int = 0
+    rate: float = 0.0  # bytes a second of a slow link; 0: no bound
+    wave_us: int = 0  # between one of the target and the next; 0: all at once
+    line: int = 0  # where it stands in the file
+
+
+@dataclass(frozen=True, slots=True)
+class Party:
+    """Limiters and servers that a partition cuts off together from all the rest."""
+
+    name: str
+    limiters: str
+    servers: str
+    counter: bool  # whether the counter and discovery are on its side
 
 
 @dataclass(slots=True)
@@ -93,6 +126,7 @@
     policy: str = "module"
     spread: int = 2  # limiters in a customer's set
     most_units: int = 2
+    skew: float = SKEW
     retry_share: float = 0.5  # of turned-back operations that their clients send again, once
     leave_share: float = 0.01  # of operations whose clients leave before their hard stop
     discovery_lag_us: int = 200 * MS
@@ -107,6 +141,9 @@
     duties: Duties = field(default_factory=lambda: Duties(250 * MS, 5 * SECOND, 0.3, SECOND, 3.0))
     leave: Leave = field(default_factory=lambda: Leave(3, True, True, False, 2 * SECOND))
     faults: list[Fault] = field(default_factory=list)
+    parties: dict[str, Party] = field(default_factory=dict)
+    clock_offset_ms: float = 0.0  # the limiters' clocks lie evenly within so much to either side
+    over_bound: float | None = None  # units over, of any customer in any window, that the scenario allows
 
     def zone_of(self, index: int) -> str:
         return f"z{index % max(1, self.zones)}"
@@ -116,7 +153,7 @@
         made, total, cumulative = [], 0.0, []
         for i in range(self.customers):
             plan = chance.choices(self.plans, self.plan_shares)[0]
-            weight = chance.paretovariate(SKEW)
+            weight = chance.paretovariate(self.skew) if self.skew else 1.0
             made.append(Customer(f"{i + 1:016x}", plan, i % self.limiters, weight))
             total += weight
             cumulative.append(total)
@@ -233,12 +270,37 @@
 
 def read(path: str) -> Scenario:
     """The scenario in the file at `path`; ScenarioError where it can't be read."""
+    return parse(text_at(path), path)
+
+
+def emulated(path: str) -> Scenario:
+    """The scenario in the file at `path`, for the emulator: a fault that only processes have is refused."""
+    return playable(read(path), path, PROCESS_KINDS, "the emulator")
+
+
+def text_at(path: str) -> str:
+    """The text of a scenario's file; ScenarioError where there is none."""
     try:
         with open(path, "rb") as file:
-            raw = file.read()
+            return file.read().decode("utf-8", "replace")
     except OSError as wrong:
         raise ScenarioError(f"{path}: {wrong.strerror or wrong}") from None
-    return parse(raw.decode("utf-8", "replace"), path)
+
+
+def changed(sc: Scenario, changes: dict[str, Any]) -> Scenario:
+    """The scenario with other values of its fields, those that are not None; the same one."""
+    for name, value in changes.items():
+        if value is not None:
+            setattr(sc, name, value)
+    return sc
+
+
+def playable(sc: Scenario, path: str, refused: tuple[str, ...], player: str) -> Scenario:
+    """The scenario itself; ScenarioError names the first fault that this player can't do."""
+    for fault in sc.faults:
+        if fault.kind in refused:
+            raise ScenarioError(f"{path}:{fault.line}: {player} can't play the fault {fault.kind!r}")
+    return sc
 
 
 def parse(text: str, path: str = "scenario") -> Scenario:
@@ -260,6 +322,10 @@
     sc.policy = run.text_of("policy", "module", POLICIES)
     sc.spread = run.whole("spread", 2, 1, 10_000)
     sc.most_units = run.whole("most_units", 2, 1, 1000)
+    sc.skew = run.number("skew", SKEW, 0, 100)
+    sc.clock_offset_ms = run.number("clock_offset_ms", 0, 0, 3_600_000)
+    bound = run.number("over_bound", -1, -1, 1e9)
+    sc.over_bound = bound if bound >= 0 else None
     run.done()
     clients = Reader(path, text, top.table.pop("clients", {}), "clients.")
     sc.retry_share = clients.number("retry_share", 0.5, 0, 1)
@@ -340,12 +406,25 @@
         plan.done()
     if not sc.categories or not sc.plans:
         raise ScenarioError(f"{path}: a scenario needs at least one category and one plan")
+    for i, row in enumerate(top.table.pop("party", [])):
+        party = Reader(path, text, row, f"party[{i}].")
+        name = party.text_of("name", f"p{i}")
+        sides = [party.text_of(key, "") for key in ("limiters", "servers")]
+        for key, side in zip(("limiters", "servers"), sides, strict=True):
+            if side and not re.fullmatch(r"\d+(-\d+)?", side):
+                raise party.wrong(key, f"{side!r} is neither N nor N-M")
+        sc.parties[name] = Party(name, *sides, party.flag("counter", False))
+        party.done()
     for i, row in enumerate(top.table.pop("fault", [])):
         fault = Reader(path, text, row, f"fault[{i}].")
-        kind = fault.text_of("kind", "", FAULT_KINDS)
+        kind = fault.text_of("kind", "", FAULT_KINDS + PROCESS_KINDS)
         target = fault.text_of("target", "all")
         if not TARGET.fullmatch(target):
-            raise fault.wrong("target", f"{target!r} is none of all, N, N-M, share:F")
+            raise fault.wrong("target", f"{target!r} is none of all, N, N-M, share:F, group:NAME")
+        if target.startswith("group:") and target[6:] not in sc.parties:
+            raise fault.wrong("target", f"there is no [[party]] named {target[6:]!r}")
+        if kind == "partition" and not target.startswith("group:"):
+            raise fault.wrong("target", "a partition cuts off a group: group:NAME")
         sc.faults.append(
             Fault(
                 round(fault.number("at_s", 0, 0, 3600) * SECOND),
@@ -353,6 +432,12 @@
                 target,
                 round(fault.number("for_s", 0, 0, 3600) * SECOND),
                 fault.number("factor", 1.0, 0, 1e6),
+                fault.text_of("link", "", ("", *LINKS)),
+                round(fault.number("delay_ms", 0, 0, 600_000) * MS),
+                round(fault.number("jitter_ms", 0, 0, 600_000) * MS),
+                fault.number("rate", 0, 0, 1e12),
+                round(fault.number("wave_ms", 0, 0, 600_000) * MS),
+                line_of(text, f"fault[{i}].", "kind"),
             )
         )
         fault.done()
--- a/lapisgrade/lab/emulator/world.py
+++ b/lapisgrade/lab/emulator/world.py
@@ -158,6 +158,8 @@
         seen = rules.Hop(name, server.zone, server.cell, sim.now)
         self.rules.now, self.rules.step = sim.now, sim.events
         if record is not None:
+            if not record.hops:
+                self.metrics.let_in(record, sim.now)
             self.rules.sent(record, seen, gate.told.get(name, (Listed.READY, 0)))
         self.metrics.hop()
         self.hops[id(hop)] = (gate, seen, None)
--- /dev/null
+++ b/lapisgrade/lab/quota.py
@@ -0,0 +1,86 @@
+"""What customers got beside what their quotas allow: pure, told of each event with its time in microseconds.
+
+One `Quota` per customer. Three figures come of it, all in units:
+
+- `over`: the worst over all windows of any length of the units let in less burst + rate x length. One pass
+  tells it: a debt that each unit raises, and that falls at the rate, is the most that any window ending
+  there holds beyond rate x length.
+- `inside`: units let in that a single bucket (burst, rate) still held; what is let in past it takes nothing,
+  as the operators count.
+- `owing`: units that one bucket which saw every operation would have let in. `short` is what the
+  customer did not get of those: turned back with room.
+"""
+
+from dataclasses import dataclass
+
+SECOND = 1_000_000
+FIGURES = ("over_worst", "over_mean", "over_share", "beyond_share", "short_share")
+
+
+@dataclass(slots=True)
+class Store:
+    """A bucket that opens full."""
+
+    rate: float  # units a second
+    burst: float  # units
+    level: float
+    at_us: int
+
+    def take(self, units: float, now_us: int) -> bool:
+        """Whether it held the units; only then it gives them."""
+        self.level = min(self.burst, self.level + self.rate * max(0, now_us - self.at_us) / SECOND)
+        self.at_us = max(self.at_us, now_us)
+        if self.level + 1e-9 < units:
+            return False
+        self.level -= units
+        return True
+
+
+class Quota:
+    """One customer's use of its quota."""
+
+    __slots__ = (
+        "_asked", "_debt", "_debt_us", "_held", "admitted", "burst", "inside", "over", "owing", "rate",
+    )
+
+    def __init__(self, rate: float, burst: float, now_us: int) -> None:
+        self.rate, self.burst = rate, burst
+        self._held = Store(rate, burst, burst, now_us)
+        self._asked = Store(rate, burst, burst, now_us)
+        self._debt, self._debt_us = 0.0, now_us
+        self.admitted = self.inside = self.owing = 0.0
+        self.over = -burst
+
+    def asked(self, units: float, now_us: int) -> None:
+        """An operation arrives, whatever becomes of it."""
+        if self._asked.take(units, now_us):
+            self.owing += units
+
+    def let_in(self, units: float, now_us: int) -> None:
+        """An operation was let in: its first hop went out, or it is known to have finished."""
+        self.admitted += units
+        if self._held.take(units, now_us):
+            self.inside += units
+        self._debt = max(0.0, self._debt - self.rate * max(0, now_us - self._debt_us) / SECOND) + units
+        self._debt_us = max(self._debt_us, now_us)
+        self.over = max(self.over, self._debt - self.burst)
+
+    @property
+    def short(self) -> float:
+        return max(0.0, self.owing - self.inside)
+
+
+def summary(quotas: list[Quota], seconds: float) -> dict[str, float]:
+    """The figures over customers: worst and mean units over, and shares of rate x seconds."""
+    kept = [each for each in quotas if each.rate > 0]
+    if not kept:
+        return dict.fromkeys(FIGURES, 0.0)
+    over = [max(0.0, each.over) for each in kept]
+    allowed = [each.rate * seconds for each in kept]
+    return {
+        "over_worst": max(over),
+        "over_mean": sum(over) / len(over),
+        "over_share": max(o / a for o, a in zip(over, allowed, strict=True)),
+        "beyond_share": sum(each.admitted - each.inside for each in kept) / sum(allowed),
+        "short_share": sum(each.short for each in kept) / sum(allowed),
+    }
--- a/lapisgrade/standins/counter/server.py
+++ b/lapisgrade/standins/counter/server.py
@@ -21,7 +21,6 @@
 IDLE_S = 10.0  # the protocol's figure: a connection idle for this long is closed
 READ_BYTES = 16_384  # one read; a call is far shorter
 MOST_BUFFERED = 1 << 20  # bytes of unanswered calls held for one connection before it is cut (guards a flood)
-SILENT_S = 3600.0  # how long a silent counter sits on a call: longer than anyone waits
 
 
 class Manner(Enum):
@@ -77,7 +76,7 @@
             return
         half = self._accepted % 2
         self._accepted += 1
-        parser = hiredis.Reader()
+        parser, mute = hiredis.Reader(), False
         try:
             while True:
                 async with asyncio.timeout(IDLE_S):
@@ -87,6 +86,12 @@
                 parser.feed(chunk)
                 if parser.len() > MOST_BUFFERED:
                     break
+                if self.manner is Manner.SILENT:
+                    mute = True  # reads on, so that it sees its caller go (guards the room for connections)
+                    parser = hiredis.Reader()
+                    continue
+                if mute:
+                    break  # it owes answers that will not come: none may be taken for a later call's
                 while (words := parser.gets()) is not False:
                     writer.write(await self._answer(words, half))
                 await writer.drain()
@@ -94,8 +99,6 @@
             pass  # a cancelled handler that re-raised would be logged by asyncio's streams as an error
 
     async def _answer(self, words, half: int) -> bytes:
-        if self.manner is Manner.SILENT:
-            await asyncio.sleep(SILENT_S)
         if self.manner is Manner.SLOW:
             await asyncio.sleep(self.delay_s)
         if self.manner is Manner.BUSY:
--- a/lapisgrade/standins/servers.py
+++ b/lapisgrade/standins/servers.py
@@ -17,7 +17,7 @@
 from lapisgrade.standins import http
 from lapisgrade.standins.listener import Listener
 
-SILENT_S = 3600.0  # how long a silent server sits on an operation: longer than anyone waits
+SILENT_LOOK_S = 0.05  # between a silent server's looks whether it is well again
 
 
 @dataclass(slots=True)
@@ -75,7 +75,7 @@
         knobs = self.knobs
         warm = 1.0 if knobs.warm_s <= 0 else min(1.0, (now_s - self.started_s) / knobs.warm_s)
         share = knobs.cold_from + (1.0 - knobs.cold_from) * warm
-        return max(1, math.floor(knobs.capacity * share))
+        return max(1, math.floor(knobs.capacity * share + 1e-9))  # rounding takes no slot away
 
     def pause(self, seconds: float) -> None:
         """Stall whole for `seconds`, as a process that stops: nothing is answered until then."""
@@ -107,9 +107,12 @@
         self.counts.asked += 1
         if self.drained_s is not None:
             self.counts.after_drain.append(now - self.drained_s)
-            return self._away()
-        if self.at_work >= self.room(now) and self.waiting >= self.knobs.queue:
-            return self._away()
+        if self.drained_s is not None or (
+            self.at_work >= self.room(now) and self.waiting >= self.knobs.queue
+        ):
+            self.seen(asked, now, False)
+            self.counts.turned_away += 1
+            return http.Reply(503, b"", (("X-Not-Processed", "1"),))
         async with self._slot:
             self.waiting += 1
             try:
@@ -117,6 +120,7 @@
             finally:
                 self.waiting -= 1
             self.at_work += 1
+        self.seen(asked, now, True)
         self.counts.most_at_work = max(self.counts.most_at_work, self.at_work)
         try:
             return await self._work(asked)
@@ -128,7 +132,9 @@
     async def _work(self, asked: http.Asked) -> http.Reply:
         knobs = self.knobs
         if knobs.silent:
-            await asyncio.sleep(SILENT_S)
+            while knobs.silent:
+                await asyncio.sleep(SILENT_LOOK_S)
+            return http.Reply(500, abort=True)  # what it sat on is lost; its slot is free again
         await asyncio.sleep(knobs.median_s * math.exp(knobs.sigma * self.random.gauss(0.0, 1.0)))
         stalled = self.paused_until_s - time.monotonic()
         if stalled > 0:
@@ -140,9 +146,8 @@
         self.counts.served += 1
         return http.Reply(200, b"done " + asked.headers["x-request-id"].encode() + b" " + asked.body, load)
 
-    def _away(self) -> http.Reply:
-        self.counts.turned_away += 1
-        return http.Reply(503, b"", (("X-Not-Processed", "1"),))
+    def seen(self, asked: http.Asked, came_s: float, ran: bool) -> None:
+        """For whoever watches: a request that came at `came_s` was turned away, or is at work now."""
 
     def _load(self, now_s: float) -> str:
         room = self.room(now_s)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -83,6 +83,31 @@
     run(go())
 
 
+def test_a_silent_counter_sees_its_callers_go_and_is_back_for_the_next():
+    async def go():
+        till = await counter.Counter(most_connections=4).open()
+        till.manner = counter.Manner.SILENT
+        for _ in range(3):  # ten limiters' worth of time-outs: each gives its connection up and opens another
+            lines = [await asyncio.open_connection("127.0.0.1", till.port) for _ in range(4)]
+            for _, writer in lines:
+                writer.write(b"*1\r\n$4\r\nPING\r\n")
+            await asyncio.sleep(0.02)
+            for _, writer in lines:
+                writer.transport.abort()
+            await asyncio.sleep(0.02)
+        assert till.connections == 0 and till.tally.reset_connections == 0
+        reader, writer = await asyncio.open_connection("127.0.0.1", till.port)
+        writer.write(b"*1\r\n$4\r\nPING\r\n")
+        await asyncio.sleep(0.02)
+        till.manner = counter.Manner.WELL
+        assert await call(till.port, [b"PING"]) == b"+PONG\r\n"
+        writer.write(b"*1\r\n$4\r\nPING\r\n")  # the one that is owed an answer gets none for a later call
+        assert await asyncio.wait_for(reader.read(10), 1.0) == b""
+        await till.close()
+
+    run(go())
+
+
 def test_a_flood_of_half_calls_is_cut_off_at_a_bound():
     async def go():
         till = await counter.Counter().open()
