The proving ground: many real processes, faults between them, and a checker of what they did

Change: lapisgrade/lab/fleet: `lapisgrade lab fleet run|repeat|report` plays the laboratory's scenarios with real limiters, servers and clients in processes of their own; SIGKILL, SIGTERM, SIGSTOP, spoilt state folders, refused writes, clocks apart; relays for each pair of parts (cut, one way, reset, slow, partitions; datagrams lost, doubled, reordered); a history in JSON lines (msgspec) and a pure checker of rules 1, 2, 3 and 5, a stated bound, time to full service, stampede and staleness. Limiters with a wilful defect (rules 1, 2, 3, 5 and the bound) are caught as processes. No process is left on Ctrl-C or when the ground itself is killed. A timed-out connection of the load tool no longer counts as open for ever. `make build` installs the command where .venv was made by others; net/events.py no longer imports net/front.py; a limiter's clock can be set apart by its configuration, for tests.

What was seen by it at once: a hop called off on a link that is cut still reaches its server when the link is healed, as a kernel would send it; the checker allows for it.

--- a/Makefile
+++ b/Makefile
@@ -5,13 +5,14 @@
 
 .PHONY: build lint test check run demo standins clean
 
-build: .venv
+# The command is what was built last: a .venv that .ci/run or the bench's build made has none yet
+build: .venv/bin/lapisgrade
 
-.venv: requirements.txt requirements-lab.txt pyproject.toml
+.venv/bin/lapisgrade: requirements.txt requirements-lab.txt pyproject.toml
 	test -d .venv || python3 -m venv .venv
 	.venv/bin/pip -q install -r requirements.txt -r requirements-lab.txt
 	.venv/bin/pip -q install --no-deps -e .
-	touch .venv
+	touch .venv/bin/lapisgrade
 
 lint: build
 	.venv/bin/ruff check .
--- a/lapisgrade/cli/main.py
+++ b/lapisgrade/cli/main.py
@@ -6,6 +6,7 @@
     lapisgrade load TARGET...          open-loop load at running limiters
     lapisgrade lab run SCENARIO        an emulated fleet in simulated time
     lapisgrade lab report RUN...       plots and a page of emulated runs
+    lapisgrade lab fleet run SCENARIO  the same scenario with real processes, and a checker of what they did
 
 Arguments are read by click. Bad input gets one plain line and exit code 2.
 """
@@ -13,6 +14,7 @@
 import asyncio
 import contextlib
 import csv
+import itertools
 import json
 import signal
 import sys
@@ -209,14 +211,12 @@
     from lapisgrade.lab.emulator.world import World
 
     try:
-        played = scenarios.read(scenario)
+        played = scenarios.emulated(scenario)
     except scenarios.ScenarioError as wrong:
         click.echo(f"the scenario: {wrong}", err=True)
         sys.exit(2)
-    for name, value in (("policy", policy), ("seed", seed), ("limiters", limiters), ("servers", servers),
-                        ("customers", customers)):
-        if value is not None:
-            setattr(played, name, value)
+    scenarios.changed(played, {"policy": policy, "seed": seed, "limiters": limiters, "servers": servers,
+                               "customers": customers})
     result = World(played).run()
     path = out or f"lab-runs/{played.name}-{played.policy}-{played.seed}.json"
     import os
@@ -258,46 +258,141 @@
 @click.option("--sizes", default="10,100,1000", show_default=True,
               help="limiters; servers as many, customers ten times as many, traffic in proportion")
 @click.option("--policies", default="module,local,central", show_default=True)
+@click.option("--spreads", default="", help="limiters in a customer's set, each tried")
 @click.option("--seconds", type=float, default=None,
               help="in place of the scenarios'; their faults' times are scaled alike")
-def lab_sweep(scenarios, sizes, policies, seconds) -> None:
-    """Play each scenario at each size under each policy; print a Markdown table of what they reached."""
+def lab_sweep(scenarios, sizes, policies, spreads, seconds) -> None:
+    """Play each scenario at each size, spread and policy; print a Markdown table of what they reached."""
     from lapisgrade.lab.emulator import scenario as read_scenarios
     from lapisgrade.lab.emulator.world import World
 
     try:
         counts = [int(each) for each in sizes.split(",")]
+        wide = [int(each) for each in spreads.split(",")] if spreads else [None]
         kinds = policies.split(",")
         if any(kind not in read_scenarios.POLICIES for kind in kinds) or min(counts) < 1:
             raise ValueError(policies)
+        if spreads and min(wide) < 1:
+            raise ValueError(spreads)
     except ValueError:
-        raise click.BadParameter("sizes are whole numbers, policies among module, local, central") from None
-    click.echo("| scenario | limiters | policy | payoff share | finished | turned back | given up | lost | "
-               "overshoot p99 | p99 ms | counter calls | broken | events a s | wall s | MB |")
-    click.echo("|---" * 15 + "|")
+        raise click.BadParameter(
+            "sizes and spreads are whole numbers, policies among module, local, central") from None
+    click.echo("| scenario | limiters | spread | policy | payoff share | finished | turned back | given up | "
+               "lost | over, worst units | over, share | short, share | p99 ms | counter calls | broken | "
+               "events a s | wall s | MB |")
+    click.echo("|---" * 18 + "|")
     for path in scenarios:
-        for size in counts:
-            for kind in kinds:
-                try:
-                    played = read_scenarios.read(path)
-                except read_scenarios.ScenarioError as wrong:
-                    click.echo(f"the scenario: {wrong}", err=True)
-                    sys.exit(2)
-                scale = size / played.limiters
-                played.rate *= scale
-                played.limiters, played.servers = size, max(1, round(played.servers * scale))
-                played.customers = max(1, round(played.customers * scale))
-                played.policy = kind
-                if seconds:
-                    shorter = seconds * 1_000_000 / played.seconds_us
-                    played.seconds_us = round(seconds * 1_000_000)
-                    played.faults = [
-                        replace(f, at_us=round(f.at_us * shorter), for_us=round(f.for_us * shorter))
-                        for f in played.faults
-                    ]
-                r = World(played).run()
-                e = r.ends
-                click.echo(f"| {r.name} | {size} | {kind} | {r.payoff_share:.3f} | {e['finished']} | "
-                           f"{e['turned back']} | {e['given up']} | {e['lost']} | {r.overshoot['p99']:.3f} | "
-                           f"{r.latency_ms['p99']:.0f} | {r.counter_calls} | {r.broken} | "
-                           f"{r.events_per_s:,.0f} | {r.wall_s:.1f} | {r.peak_mb:.0f} |")
+        for size, spread, kind in itertools.product(counts, wide, kinds):
+            try:
+                played = read_scenarios.emulated(path)
+            except read_scenarios.ScenarioError as wrong:
+                click.echo(f"the scenario: {wrong}", err=True)
+                sys.exit(2)
+            scale = size / played.limiters
+            played.rate *= scale
+            played.limiters, played.servers = size, max(1, round(played.servers * scale))
+            played.customers = max(1, round(played.customers * scale))
+            played.policy, played.spread = kind, spread or played.spread
+            if seconds:
+                shorter = seconds * 1_000_000 / played.seconds_us
+                played.seconds_us = round(seconds * 1_000_000)
+                played.faults = [
+                    replace(f, at_us=round(f.at_us * shorter), for_us=round(f.for_us * shorter))
+                    for f in played.faults
+                ]
+            r = World(played).run()
+            e, q = r.ends, r.quotas
+            click.echo(f"| {r.name} | {size} | {played.spread} | {kind} | {r.payoff_share:.3f} | "
+                       f"{e['finished']} | {e['turned back']} | {e['given up']} | {e['lost']} | "
+                       f"{q['over_worst']:.1f} | {q['over_share']:.3f} | {q['short_share']:.3f} | "
+                       f"{r.latency_ms['p99']:.0f} | {r.counter_calls} | {r.broken} | "
+                       f"{r.events_per_s:,.0f} | {r.wall_s:.1f} | {r.peak_mb:.0f} |")
+
+
+@lab.group()
+def fleet() -> None:
+    """The proving ground: real processes, faults between them, and a checker of what they did."""
+
+
+FOLDER = click.Path(file_okay=False)
+
+
+@fleet.command("run")
+@click.argument("scenario", type=click.Path(dir_okay=False))
+@click.option("--seed", type=int, default=None, help="in place of the scenario's")
+@click.option("--limiters", type=click.IntRange(1, 200), default=None, help="in place of the scenario's")
+@click.option("--out", type=FOLDER, default=None, help="folder for the play (default: fleet-runs/NAME-SEED)")
+def fleet_run(scenario, seed, limiters, out) -> None:
+    """Play SCENARIO with real processes; write history and findings; exit 1 where a rule or bound broke."""
+    played = _fleet(scenario, [seed], limiters, out)
+    sys.exit(0 if all(each.ok for each in played) else 1)
+
+
+@fleet.command("repeat")
+@click.argument("scenarios", nargs=-1, required=True, type=click.Path(dir_okay=False))
+@click.option("--seeds", default="1,2,3,4,5", show_default=True)
+@click.option("--limiters", type=click.IntRange(1, 200), default=None, help="in place of the scenarios'")
+@click.option("--out", type=FOLDER, default=None, help="folder that holds a folder for each play")
+def fleet_repeat(scenarios, seeds, limiters, out) -> None:
+    """Play each scenario with each seed; print a Markdown table of medians and the worst."""
+    from lapisgrade.lab.fleet import report
+
+    try:
+        numbers = [int(each) for each in seeds.split(",")]
+    except ValueError:
+        raise click.BadParameter("seeds are whole numbers, with commas between them") from None
+    plays = [each for path in scenarios for each in _fleet(path, numbers, limiters, out)]
+    click.echo(report.table(plays))
+    sys.exit(0 if all(each.ok for each in plays) else 1)
+
+
+@fleet.command("report")
+@click.argument("folders", nargs=-1, required=True, type=FOLDER)
+@click.option("--out", default="fleet-runs/report.html", show_default=True, type=click.Path(dir_okay=False))
+def fleet_report(folders, out) -> None:
+    """One HTML page, plots inside, of the plays in FOLDERS."""
+    from pathlib import Path
+
+    from lapisgrade.lab.fleet import report
+
+    try:
+        plays = [report.load(f"{each}/findings.json") for each in folders]
+    except report.BadFindings as wrong:
+        click.echo(f"the findings: {wrong}", err=True)
+        sys.exit(2)
+    Path(out).parent.mkdir(parents=True, exist_ok=True)
+    Path(out).write_text(report.page(plays), encoding="utf-8")
+    click.echo(f"written {out}")
+
+
+def _fleet(path: str, seeds: list[int | None], limiters: int | None, out: str | None) -> list:
+    """Play the scenario at `path` with each seed; the findings. Ends the command where it can't be played."""
+    from pathlib import Path
+
+    from lapisgrade.lab.emulator import scenario as read_scenarios
+    from lapisgrade.lab.fleet import checker, ground, history, process, report
+
+    found = []
+    for seed in seeds:
+        changes = {"seed": seed, "limiters": limiters}
+        try:
+            text = read_scenarios.text_at(path)
+            played = read_scenarios.changed(read_scenarios.parse(text, path), changes)
+        except read_scenarios.ScenarioError as wrong:
+            click.echo(f"the scenario: {wrong}", err=True)
+            sys.exit(2)
+        folder = Path(out) if out and len(seeds) == 1 else Path(out or "fleet-runs") / (
+            f"{played.name}-{played.seed}")
+        try:
+            files = asyncio.run(ground.play(played, text, path, folder.resolve(), changes))
+        except process.Failed as wrong:
+            click.echo(f"the play: {wrong}", err=True)
+            sys.exit(3)
+        except KeyboardInterrupt:
+            click.echo("interrupted; every process of the play has been ended", err=True)
+            sys.exit(130)
+        found.append(checker.check(history.merged(files)))
+        report.save(found[-1], folder / "findings.json")
+        for line in report.lines(found[-1]):
+            click.echo(line)
+    return found
--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -283,7 +283,7 @@
                 started = now  # the count was emptied, but for this
                 self.back.add(now, self.own.read(now) - back)
             # Of the others' use since our last look a part is forgotten: taken as even it was so much more
-            # (guards against a leak that grows with the limiters). A count emptied, or not put back yet, tells
+            # (guards against a leak that grows with the limiters). A count emptied, or not yet put back, says
             # less than we know: then they went on as before. A store surely holds what the count leaves.
             lives = (now - self.looked) / self.life if self.looked else 0.0
             forgot = lives / -math.expm1(-lives) if lives > 0 else 1.0
--- a/lapisgrade/lab/emulator/scenario.py
+++ b/lapisgrade/lab/emulator/scenario.py
@@ -274,8 +274,15 @@
 
 
 def emulated(path: str) -> Scenario:
-    """The scenario in the file at `path`, for the emulator: a fault that only processes have is refused."""
-    return playable(read(path), path, PROCESS_KINDS, "the emulator")
+    """The scenario in the file at `path`; ScenarioError for a fault that the emulator can't play."""
+    sc = read(path)
+    for fault in sc.faults:
+        at = f"{path}:{fault.line}: the emulator can't play"
+        if fault.kind in PROCESS_KINDS:
+            raise ScenarioError(f"{at} the fault {fault.kind!r}: it needs processes (lab fleet run)")
+        if fault.wave_us or fault.target.startswith("group:"):
+            raise ScenarioError(f"{at} faults that come in waves or to a group: they need processes")
+    return sc
 
 
 def text_at(path: str) -> str:
@@ -295,14 +302,6 @@
     return sc
 
 
-def playable(sc: Scenario, path: str, refused: tuple[str, ...], player: str) -> Scenario:
-    """The scenario itself; ScenarioError names the first fault that this player can't do."""
-    for fault in sc.faults:
-        if fault.kind in refused:
-            raise ScenarioError(f"{path}:{fault.line}: {player} can't play the fault {fault.kind!r}")
-    return sc
-
-
 def parse(text: str, path: str = "scenario") -> Scenario:
     try:
         tree = tomllib.loads(text)
--- /dev/null
+++ b/lapisgrade/lab/fleet/defects.py
@@ -0,0 +1,70 @@
+"""A limiter with a wilful defect, to show that the checker can fail.
+
+`python -m lapisgrade.lab.fleet.defects KIND` is the real limiter but for one rule that it breaks; the rule's
+number is in `DEFECTS`. Nothing of the program imports this.
+"""
+
+import sys
+from dataclasses import replace
+
+from lapisgrade import decide, start
+from lapisgrade.interface import Listed, Operation, Repeat
+from lapisgrade.net import discovery
+
+
+def swallow() -> None:
+    """One operation in ten never gets an answer (rule 1)."""
+    honest = decide.Limiter.operation
+
+    def operation(self: decide.Limiter, op: Operation):
+        if self.random.random() < 0.1:
+            return
+        yield from honest(self, op)
+
+    decide.Limiter.operation = operation
+
+
+def twice() -> None:
+    """What must not repeat is sent again before its answer can come (rule 2)."""
+    honest = decide.Limiter.operation
+
+    def operation(self: decide.Limiter, op: Operation):
+        op.category = replace(op.category, repeat=Repeat.IDEMPOTENT)
+        yield from honest(self, op)
+
+    decide.Limiter.operation, decide.PATIENCE = operation, -1000.0
+
+
+def deaf() -> None:
+    """News of servers that drain is not heard (rule 3)."""
+    discovery.STATES["terminating"] = Listed.READY
+
+
+def unmetered() -> None:
+    """No plan has a quota or a ceiling (rule 5, and any stated bound)."""
+    honest = start.plans
+
+    def plans(info: start.Fields) -> list:
+        made = honest(info)
+        for plan in made:
+            plan.rate = plan.ceiling_rate = 0.0
+        return made
+
+    start.plans = plans
+
+
+DEFECTS = {"swallow": (swallow, 1), "twice": (twice, 2), "deaf": (deaf, 3), "unmetered": (unmetered, 5)}
+
+
+def main() -> int:
+    if len(sys.argv) != 2 or sys.argv[1] not in DEFECTS:
+        print(f"one of {', '.join(DEFECTS)}", file=sys.stderr)
+        return 2
+    DEFECTS[sys.argv[1]][0]()
+    from lapisgrade.__main__ import main as limiter
+
+    return limiter()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/lapisgrade/lab/fleet/history.py
@@ -0,0 +1,188 @@
+"""What happened in one play, event by event: JSON lines, one event a line, encoded and checked by msgspec.
+
+Every process that sees something writes a file of its own, in the order it saw it; `merged` reads them as
+one, by time. Times are microseconds of the machine's monotonic clock, which all processes of one machine
+share. Nothing is kept in memory but the lines under way.
+"""
+
+import heapq
+import time
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+SECOND = 1_000_000
+MOST_LINE = 1 << 20  # bytes; a longer line is no event of ours
+
+
+class BadHistory(ValueError):
+    """A history that can't be read; says where."""
+
+
+class Event(msgspec.Struct, tag_field="kind", frozen=True, kw_only=True):
+    """Something seen at `at` (us)."""
+
+    at: int
+
+
+class Begin(Event, tag="begin"):
+    """The play starts. `settings` are the limiters' settings, as in their configuration."""
+
+    name: str
+    seed: int
+    limiters: int
+    seconds: float
+    settings: dict[str, Any]
+    over_bound: float | None = None  # units over, by any customer; None where the scenario states none
+    leeway_us: int = 0  # how far links that delay may move what is seen
+
+
+class Sent(Event, tag="sent"):
+    """A client sent an operation (`op`, the id of this try) to a limiter; `origin` is its first try's id."""
+
+    op: str
+    origin: str
+    due: int
+    customer: str
+    plan: str
+    category: str
+    units: int
+    limiter: int
+    ends: int  # when its client stops waiting
+
+
+class Answered(Event, tag="answered"):
+    """How it ended for the client: `finished`, `turned back`, `given up`, `broken` (the connection failed
+    or was refused) or `none` (no answer in its time and the grace)."""
+
+    op: str
+    how: str
+    advice_ms: int = 0
+
+
+class Came(Event, tag="came"):
+    """A hop of an operation reached a server; `ran` says whether it was taken to be run."""
+
+    op: str
+    server: str
+    ran: bool
+
+
+class Counted(Event, tag="counted"):
+    """The counter was called; `amount` was added, unless it turned the call away."""
+
+    name: str
+    amount: float
+    total: float
+    added: bool = True
+
+
+class Asked(Event, tag="asked"):
+    """Discovery was asked by a limiter (its agent was)."""
+
+    limiter: int
+
+
+class Opened(Event, tag="opened"):
+    """A connection was opened to a server, the counter or an agent."""
+
+    to: str
+
+
+class Fact(Event, tag="fact"):
+    """A server's state changed at discovery."""
+
+    server: str
+    state: str
+
+
+class Told(Event, tag="told"):
+    """A limiter's agent told it of a server's state."""
+
+    limiter: int
+    server: str
+    state: str
+
+
+class Fault(Event, tag="fault"):
+    """A fault began, or ended (`on` false)."""
+
+    what: str
+    target: str
+    on: bool
+
+
+class Life(Event, tag="life"):
+    """A limiter's process: `started`, `up`, `killed`, `ended`, `paused`, `resumed`, with its process id."""
+
+    limiter: int
+    what: str
+    pid: int = 0
+
+
+class End(Event, tag="end"):
+    """The play is over; what comes later is the limiters' own ending."""
+
+
+AnyEvent = Begin | Sent | Answered | Came | Counted | Asked | Opened | Fact | Told | Fault | Life | End
+_DECODER = msgspec.json.Decoder(AnyEvent)
+
+
+def now_us() -> int:
+    return time.monotonic_ns() // 1000
+
+
+class Writer:
+    """Appends events to one file. `close()` it, or use it as a context."""
+
+    def __init__(self, path: Path | str) -> None:
+        self._file = open(path, "ab", buffering=65_536)  # noqa: SIM115 (closed by close())
+        self._encoder = msgspec.json.Encoder()
+
+    def put(self, event: Event) -> None:
+        self._file.write(self._encoder.encode(event) + b"\n")
+
+    def close(self) -> None:
+        self._file.close()
+
+    def __enter__(self) -> "Writer":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+
+def read(path: Path | str) -> Iterator[Event]:
+    """The events of one file; BadHistory names the line that is none. A last line cut short (its writer was
+    killed) is left out."""
+    with open(path, "rb") as file:
+        for number, line in enumerate(file, 1):
+            if len(line) > MOST_LINE:
+                raise BadHistory(f"{path}:{number}: longer than {MOST_LINE} bytes")
+            if not line.endswith(b"\n"):
+                return
+            try:
+                yield _DECODER.decode(line)
+            except msgspec.MsgspecError as wrong:
+                raise BadHistory(f"{path}:{number}: {wrong}") from None
+
+
+def merged(paths: Iterable[Path | str]) -> Iterator[Event]:
+    """The events of several files by time; those of one file and one time stay in their order.
+
+    A process may write an event a little after a later one (an answer's time is taken before it is written):
+    each file is sorted within a window of events first.
+    """
+    return heapq.merge(*(_ordered(read(path)) for path in paths), key=lambda event: event.at)
+
+
+def _ordered(events: Iterator[Event], window: int = 4096) -> Iterator[Event]:
+    held: list[tuple[int, int, Event]] = []
+    for number, event in enumerate(events):
+        heapq.heappush(held, (event.at, number, event))
+        if len(held) > window:
+            yield heapq.heappop(held)[2]
+    while held:
+        yield heapq.heappop(held)[2]
--- /dev/null
+++ b/lapisgrade/lab/fleet/servers.py
@@ -0,0 +1,91 @@
+"""The servers of a play, in a process of their own: `python -m lapisgrade.lab.fleet.servers`, told by
+commands.
+
+The first command is `open`; then `mode`, `kill`, `restart` and `drain` name servers by their numbers. Each
+hop that reaches a server is written to the history, with whether it was taken to be run.
+"""
+
+from typing import Any
+
+from lapisgrade.lab.fleet import history as h
+from lapisgrade.lab.fleet.process import serve_commands
+from lapisgrade.standins import http, servers
+
+KNOBS = ("capacity", "queue", "median_s", "sigma", "cold_from", "warm_s")
+
+
+class Seen(servers.Server):
+    """A stand-in server that writes down what comes."""
+
+    writer: h.Writer
+
+    async def _accept(self, reader, writer) -> None:
+        self.writer.put(h.Opened(at=h.now_us(), to=self.name))
+        await super()._accept(reader, writer)
+
+    def seen(self, asked: http.Asked, came_s: float, ran: bool) -> None:
+        at, op = round(came_s * h.SECOND), asked.headers["x-request-id"]
+        self.writer.put(h.Came(at=at, op=op, server=self.name, ran=ran))
+
+
+class Servers:
+    """All servers of the play, and the commands that change them."""
+
+    def __init__(self) -> None:
+        self.all: list[Seen] = []
+        self.usual: servers.Knobs = servers.Knobs()
+        self.writer: h.Writer | None = None
+
+    async def handle(self, command: dict[str, Any]) -> dict[str, Any]:
+        return await getattr(self, f"do_{command.pop('do')}")(**command)
+
+    async def do_open(self, history: str, count: int, seed: int, knobs: dict[str, Any]) -> dict[str, Any]:
+        self.writer = h.Writer(history)
+        self.usual = servers.Knobs(**knobs)
+        for i in range(count):
+            server = Seen(f"s{i}", servers.Knobs(**knobs), seed * 1_000_003 + i)
+            server.writer = self.writer
+            self.all.append(await server.open())
+        return {"addresses": [each.address for each in self.all]}
+
+    async def do_mode(self, which: list[int], mode: str, factor: float = 1.0) -> dict[str, Any]:
+        """`well`, `slow` (times `factor`), `failing` (a share `factor`), `fast_errors`, `silent`."""
+        for i in which:
+            knobs, usual = self.all[i].knobs, self.usual
+            knobs.silent = mode == "silent"
+            knobs.median_s = {"slow": usual.median_s * factor, "fast_errors": 0.0}.get(mode, usual.median_s)
+            knobs.error_share = {"failing": factor, "fast_errors": 1.0}.get(mode, 0.0)
+        return {}
+
+    async def do_kill(self, which: list[int]) -> dict[str, Any]:
+        for i in which:
+            await self.all[i].kill()
+        return {}
+
+    async def do_drain(self, which: list[int]) -> dict[str, Any]:
+        for i in which:
+            self.all[i].drain()
+        return {}
+
+    async def do_restart(self, which: list[int]) -> dict[str, Any]:
+        """A new process at the same place: cold, and empty."""
+        for i in which:
+            if self.all[i].alive:
+                await self.all[i].kill()
+            await self.all[i].open()
+        return {"addresses": [self.all[i].address for i in which]}
+
+    async def do_counts(self) -> dict[str, Any]:
+        names = ("asked", "served", "errors", "turned_away", "no_id", "probes")
+        return {name: sum(getattr(each.counts, name) for each in self.all) for name in names}
+
+    async def do_close(self) -> dict[str, Any]:
+        for each in self.all:
+            await each.kill()
+        if self.writer is not None:
+            self.writer.close()
+        return {}
+
+
+if __name__ == "__main__":
+    serve_commands(Servers().handle)
--- a/lapisgrade/lab/load/client.py
+++ b/lapisgrade/lab/load/client.py
@@ -167,26 +167,11 @@
         self._number += 1
         number = f"{self.chance.getrandbits(64):016x}"
         which = self.chance.randrange(len(self.targets))
-        request, body = self._request(planned, number, which)
+        key = f"{self.chance.getrandbits(128):032x}" if planned.category == "ticket" else ""
+        reads = planned.category == "read"
+        request, body = make_request(planned, number, key, reads, len(self.targets), 0)
         ends = due + (planned.timeout_us + GRACE_US) / SECOND
-        status, headers = 0, {}
-        try:
-            async with asyncio.timeout_at(ends):
-                for _ in range(2):
-                    line = await self._line(which)
-                    try:
-                        status, headers = await line.exchange(request, body)
-                        self._give_back(which, line)
-                        break
-                    except Broken as broken:
-                        self._lost_line(which, line)
-                        if broken.heard or line.fresh:
-                            break
-                        self.tally.resent += 1  # closed across a request that it had not read
-        except TimeoutError:
-            status = -1
-        except OSError:
-            status = 0
+        status, headers = await self.exchange(which, request, body, ends)
         took_us = max(1, round((loop.time() - due) * SECOND))
         outcome = self._outcome(status, headers, took_us, planned)
         self.tally.counts[outcome] += 1
@@ -208,22 +193,34 @@
             return "turned back"
         return "given up"
 
-    def _request(self, planned: Planned, number: str, which: int) -> tuple[h11.Request, bytes]:
-        headers = [
-            ("Host", "api.internal"), ("X-Request-ID", number), ("X-Priority-Class", planned.category),
-            ("X-Plan", planned.plan), ("X-Customer", f"{planned.customer:016x}"),
-            ("X-Timeout", f"{planned.timeout_us / SECOND:.3f}"),
-            ("X-Quota", f"units={planned.units},spread={len(self.targets)},first=0"),
-        ]
-        body = b""
-        if planned.category == "read":
-            method = "GET"
-        else:
-            method, body = "POST", b"operation " + number.encode()
-            if planned.category == "ticket":
-                headers.append(("Idempotency-Key", f"{self.chance.getrandbits(128):032x}"))
-            headers.append(("Content-Length", str(len(body))))
-        return h11.Request(method=method, target="/api", headers=headers), body
+    async def exchange(
+        self, which: int, request: h11.Request, body: bytes, ends: float
+    ) -> tuple[int, dict[str, str]]:
+        """Status and headers of the limiter's answer: 0 where the connection failed, -1 where none came until
+        `ends` (the loop's time). One that was at rest and closed across the request is tried once more
+        anew."""
+        try:
+            async with asyncio.timeout_at(ends):
+                for _ in range(2):
+                    line = await self._line(which)
+                    try:
+                        answer = await line.exchange(request, body)
+                    except Broken as broken:
+                        self._lost_line(which, line)
+                        if broken.heard or line.fresh:
+                            return 0, {}
+                        self.tally.resent += 1
+                    except BaseException:
+                        self._lost_line(which, line)  # given up on with an answer still to come on it
+                        raise
+                    else:
+                        self._give_back(which, line)
+                        return answer
+        except TimeoutError:
+            return -1, {}
+        except OSError:
+            pass
+        return 0, {}
 
     async def _line(self, which: int) -> Line:
         idle = self._idle[which]
@@ -269,6 +266,26 @@
                 return
 
 
+def make_request(
+    planned: Planned, number: str, key: str, reads: bool, spread: int, first: int
+) -> tuple[h11.Request, bytes]:
+    """The request of one try, and its body. `number` is its id, `key` its mark against repeats, where it has
+    one; its customer is known to `spread` limiters from number `first` on."""
+    headers = [
+        ("Host", "api.internal"), ("X-Request-ID", number), ("X-Priority-Class", planned.category),
+        ("X-Plan", planned.plan), ("X-Customer", f"{planned.customer:016x}"),
+        ("X-Timeout", f"{planned.timeout_us / SECOND:.3f}"),
+        ("X-Quota", f"units={planned.units},spread={spread},first={first}"),
+    ]
+    if reads:
+        return h11.Request(method="GET", target="/api", headers=headers), b""
+    body = b"operation " + number.encode()
+    if key:
+        headers.append(("Idempotency-Key", key))
+    headers.append(("Content-Length", str(len(body))))
+    return h11.Request(method="POST", target="/api", headers=headers), body
+
+
 def percentiles(histogram: HdrHistogram) -> dict[float, int]:
     """Microseconds at each of PERCENTILES; empty for an empty histogram."""
     if histogram.get_total_count() == 0:
--- a/lapisgrade/net/events.py
+++ b/lapisgrade/net/events.py
@@ -5,10 +5,10 @@
 
 from lapisgrade.interface import Entry, Operation
 from lapisgrade.net.ending import Ending
+from lapisgrade.net.handle import Client
 
 if TYPE_CHECKING:
     from lapisgrade.engine import Task
-    from lapisgrade.net.front import Client
     from lapisgrade.net.http import Message
 
 
@@ -16,7 +16,7 @@
 class Asked:
     """What a client sent, as far as it passes on to a server; an operation's `handle`."""
 
-    client: "Client | None"  # None once it has its answer or has left: nothing is owed any more
+    client: Client | None  # None once it has its answer or has left: nothing is owed any more
     method: bytes
     target: bytes
     host: bytes
--- a/lapisgrade/net/host.py
+++ b/lapisgrade/net/host.py
@@ -18,10 +18,19 @@
 from lapisgrade.start import Fields
 
 
-def wall() -> Callable[[], int]:
-    """Unix time in us, read once and then carried on by a clock that never steps."""
-    since = time.time_ns() - time.monotonic_ns()
-    return lambda: (time.monotonic_ns() + since) // 1000
+def wall(offset_us: int = 0, drift_ppm: float = 0.0) -> Callable[[], int]:
+    """Unix time in us, read once and then carried on by a clock that never steps; for tests of clocks that
+    disagree, so much ahead at the start and gaining so many us in each second."""
+    began = time.monotonic_ns()
+    since = time.time_ns() - began
+    if not drift_ppm:
+        return lambda: (time.monotonic_ns() + since) // 1000 + offset_us
+
+    def drifting() -> int:
+        now = time.monotonic_ns()
+        return (now + since) // 1000 + offset_us + int((now - began) * drift_ppm / 1e9)
+
+    return drifting
 
 
 class Host:
--- a/lapisgrade/net/service.py
+++ b/lapisgrade/net/service.py
@@ -41,7 +41,10 @@
             raise Malformed(f"seed: {wrong}") from None
         self.counts: Counter[str] = Counter()
         self._log = log.Log(told["name"])
-        self.say, now = self._log.say, wall()
+        if not isinstance(clock := told.get("clock", {}), dict):
+            raise Malformed("clock is not of the kind dict")
+        clock = Fields(clock)
+        self.say, now = self._log.say, wall(clock.micros("offset_ms"), clock.number("drift_ppm"))
         say = self.say
         self._listen, self._known = start.address(told["listen"], "listen"), told["known"]
         self.host = Host(info, seed, now, say, self.counts)
--- /dev/null
+++ b/tests/fleet/test_plays.py
@@ -0,0 +1,294 @@
+"""Plays with several real processes and faults between them; verdicts rest on rules and bounds, not speed."""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from lapisgrade.lab.emulator import scenario
+from lapisgrade.lab.fleet import checker, defects, ground, history, process
+from lapisgrade.lab.fleet.relay import BACK, THERE, Link, TcpRelay, UdpRelay
+
+BASE = """
+[run]
+name = "test"
+seconds = {seconds}
+limiters = {limiters}
+servers = 4
+customers = 6
+rate = {rate}
+spread = {limiters}
+skew = 0
+{run}
+[servers]
+median_ms = 10
+cold_from = 1
+warm_s = 0
+[rules]
+drain_grace_ms = 200
+[clients]
+retry_share = 0
+leave_share = 0
+[[category]]
+name = "read"
+hard_stop_ms = 800
+share = 3
+[[category]]
+name = "ticket"
+repeat = "deduplicated"
+remembered_ms = 5000
+hard_stop_ms = 800
+[[category]]
+name = "flash"
+repeat = "unrepeatable"
+hard_stop_ms = 800
+[[plan]]
+name = "pro"
+rate = 40
+burst = 80
+ceiling_rate = 60
+ceiling_burst = 120
+ceiling_slack = 10
+"""
+
+
+def fault(at_s: float, kind: str, target: str = "all", for_s: float = 0.0, more: str = "") -> str:
+    return f'[[fault]]\nat_s = {at_s}\nkind = "{kind}"\ntarget = "{target}"\nfor_s = {for_s}\n{more}\n'
+
+
+def text(*faults: str, seconds: float = 4, limiters: int = 3, rate: float = 60, run: str = "") -> str:
+    return BASE.format(seconds=seconds, limiters=limiters, rate=rate, run=run) + "".join(faults)
+
+
+def play(said: str, folder: Path, command: tuple[str, ...] = ground.LIMITER) -> checker.Findings:
+    sc = scenario.parse(said, "test.toml")
+    files = asyncio.run(ground.play(sc, said, "test.toml", folder, command=command))
+    return checker.check(history.merged(files))
+
+
+def gone(pids: list[int]) -> bool:
+    """Whether none of these processes runs any more (one that waits to be reaped does not)."""
+    for pid in pids:
+        try:
+            if "State:\tZ" not in Path(f"/proc/{pid}/status").read_text():
+                return False
+        except (FileNotFoundError, ProcessLookupError):
+            continue
+    return True
+
+
+CUT = '[[party]]\nname = "left"\nlimiters = "0"\nservers = "0-1"\n'
+
+
+@pytest.mark.parametrize(("said", "felt"), [
+    (text(fault(1, "limiter_kill", "all", 0.3)), lambda f: f.exempt or f.ends["broken"]),
+    (text(fault(1, "limiter_pause", "0", 2.0)), lambda f: f.exempt),  # longer than every time-out
+    (text(fault(1, "counter_lost", for_s=1.5), fault(3, "counter_restart")),
+     lambda f: f.ends["finished"]),
+    (text(fault(1, "link_reset", "0-1", 0.2), fault(2, "link_cut", "2", 1.0, 'link = "server"')),
+     lambda f: f.stampede["connections"] > 1),
+    (text(CUT, fault(1, "partition", "group:left", 1.5), fault(1.2, "server_drain", "3")),
+     lambda f: f.ends["finished"]),
+    (text(fault(1, "link_slow", "0", 1.0, "delay_ms = 30\njitter_ms = 20"),
+          fault(1, "limiter_term", "1", 0.2), fault(2, "counter_swap"), run="clock_offset_ms = 50"),
+     lambda f: f.ends["finished"]),
+], ids=["all-killed", "paused", "counter", "links", "partition", "ending"])
+def test_rules_hold_over_all_processes(said, felt, tmp_path):
+    got = play(said, tmp_path)
+    assert got.ok, got.breaches[:5]
+    assert sum(got.ends.values()) > 150 and got.ends["finished"] > 100
+    assert felt(got)
+    assert set(got.share) == {0, 1, 2}
+
+
+@pytest.mark.parametrize("name", list(defects.DEFECTS))
+def test_a_wilful_defect_in_a_process_is_caught(name, tmp_path):
+    rule = defects.DEFECTS[name][1]
+    command = (sys.executable, "-m", "lapisgrade.lab.fleet.defects", name)
+    run = "over_bound = 30" if name == "unmetered" else ""
+    drained = [fault(0.3, "server_drain", "3")] if name == "deaf" else []
+    rate = 600 if name == "unmetered" else 60
+    said = text(*drained, seconds=3.5 if name == "deaf" else 2.5, limiters=2, rate=rate, run=run)
+    said = said.replace("drain_grace_ms = 200", "drain_grace_ms = 700")  # it stays up for four times as long
+    got = play(said, tmp_path, command)
+    caught = {each.rule for each in got.breaches}
+    assert rule in caught, (caught, got.ends)
+    if name == "unmetered":
+        assert 0 in caught  # the stated bound as well
+    else:
+        assert caught == {rule}
+
+
+@pytest.mark.parametrize("way", [signal.SIGINT, signal.SIGKILL])
+def test_no_process_is_left_however_the_ground_ends(way, tmp_path):
+    scene = tmp_path / "scene.toml"
+    scene.write_text(text(fault(0.2, "limiter_pause", "0", 20), seconds=30))
+    args = [sys.executable, "-m", "lapisgrade.cli", "lab", "fleet", "run", str(scene), "--out",
+            str(tmp_path / "out")]
+    child = subprocess.Popen(args, cwd=process.ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE,
+                             text=True)
+    try:
+        pids: list[int] = []
+        until = time.monotonic() + 30
+        while len(pids) < 5 and time.monotonic() < until:  # three limiters, servers, clients
+            time.sleep(0.1)
+            own = Path(f"/proc/{child.pid}/task/{child.pid}/children")
+            pids = [int(each) for each in own.read_text().split()]
+        assert len(pids) == 5
+        time.sleep(1.0)
+        child.send_signal(way)
+        _, said = child.communicate(timeout=30)
+    finally:
+        child.kill()
+    if way is signal.SIGINT:
+        assert child.returncode == 130 and "Traceback" not in said
+    until = time.monotonic() + 10
+    while not gone(pids) and time.monotonic() < until:
+        time.sleep(0.05)
+    assert gone(pids)
+
+
+def test_a_scenario_that_a_player_cannot_do_is_refused_in_one_line(tmp_path):
+    scene = tmp_path / "scene.toml"
+    scene.write_text(text(fault(1, "limiter_pause", "0", 2)))
+    args = [sys.executable, "-m", "lapisgrade.cli", "lab", "run", str(scene)]
+    done = subprocess.run(args, cwd=process.ROOT, capture_output=True, text=True)
+    line = scene.read_text().splitlines().index('kind = "limiter_pause"') + 1
+    assert done.returncode == 2 and f"scene.toml:{line}: the emulator can't play" in done.stderr
+    scene.write_text(text(fault(1, "partition", "group:nobody", 2)))
+    args[4] = "fleet"
+    args[5:] = ["run", str(scene)]
+    done = subprocess.run(args, cwd=process.ROOT, capture_output=True, text=True)
+    assert done.returncode == 2 and "no [[party]] named 'nobody'" in done.stderr
+    assert "Traceback" not in done.stderr
+
+
+def test_a_limiter_that_cannot_start_is_said_and_nothing_is_left(tmp_path):
+    said = text(limiters=2)
+    with pytest.raises(process.Failed, match="ended while starting"):
+        play(said, tmp_path, (sys.executable, "-c", "raise SystemExit(3)"))
+
+
+def test_the_disk_is_lost_cut_short_flipped_and_full(tmp_path):
+    state = tmp_path / "state"
+    (state / "deep").mkdir(parents=True)
+    (state / "old").write_bytes(b"old")
+    os.utime(state / "old", (1, 1))
+    (state / "deep" / "new").write_bytes(bytes(range(100)))
+    process.flip(state)
+    assert (state / "deep" / "new").read_bytes()[50] == 50 ^ 0x10
+    process.truncate(state)
+    assert (state / "deep" / "new").read_bytes() == bytes(range(50))
+    process.lose(state)
+    assert list(state.iterdir()) == []
+
+    async def full() -> int:
+        writes = "import os, time\ntime.sleep(0.5)\nos.write(os.open('f', os.O_WRONLY | os.O_CREAT), b'x')\n"
+        child = process.Process("writer", [sys.executable, "-c", writes], tmp_path / "log", cwd=state)
+        async with process.Supervisor() as supervisor:
+            await supervisor.start(child)
+            child.refuse_writes(True)
+            return await child.wait()
+
+    assert asyncio.run(full()) != 0
+    assert b"File too large" in (tmp_path / "log").read_bytes()
+
+
+# ---- relays
+
+
+async def echo():
+    async def serve(reader, writer):
+        while chunk := await reader.read(1000):
+            writer.write(chunk)
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    return server, server.sockets[0].getsockname()
+
+
+def test_a_tcp_link_is_cut_either_way_healed_slowed_and_reset():
+    async def go():
+        server, where = await echo()
+        relay = await TcpRelay(where, 1).open()
+        reader, writer = await asyncio.open_connection("127.0.0.1", relay.port)
+
+        async def ask(words: bytes, within_s: float = 5.0) -> bytes:
+            writer.write(words)
+            return await asyncio.wait_for(reader.readexactly(len(words)), within_s)
+
+        assert await ask(b"one") == b"one"
+        for cut in ({THERE}, {BACK}, {THERE, BACK}):
+            relay.link.cut = frozenset(cut)
+            relay.turn()
+            with pytest.raises(TimeoutError):
+                await ask(b"two", 0.15)
+            relay.link.heal()
+            relay.turn()
+            assert await asyncio.wait_for(reader.readexactly(3), 5) == b"two"  # held back, not lost
+        loop = asyncio.get_running_loop()
+        relay.link.delay_s, began = 0.1, loop.time()
+        assert await ask(b"slow") == b"slow"
+        assert loop.time() - began >= 0.2  # there and back
+        relay.link = Link(rate=10_000)
+        began = loop.time()
+        assert await ask(b"x" * 1500) == b"x" * 1500
+        assert loop.time() - began >= 0.15
+        relay.link = Link(reset=True)
+        relay.turn()
+        with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+            await ask(b"end")
+        with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+            other, writes = await asyncio.open_connection("127.0.0.1", relay.port)
+            writes.write(b"x")
+            await other.readexactly(1)
+        assert relay.passed.resets == 2
+        await relay.close()
+        server.close()
+
+    asyncio.run(go())
+
+
+def test_a_datagram_link_loses_doubles_and_reorders_by_its_seed():
+    class Far(asyncio.DatagramProtocol):
+        def __init__(self):
+            self.got = []
+
+        def connection_made(self, transport):
+            self.transport = transport
+
+        def datagram_received(self, data, source):
+            self.got.append(int(data))
+            self.transport.sendto(data, source)
+
+    async def one(link: Link, seed: int):
+        loop = asyncio.get_running_loop()
+        transport, far = await loop.create_datagram_endpoint(Far, local_addr=("127.0.0.1", 0))
+        relay = await UdpRelay(transport.get_extra_info("sockname"), seed, link).open()
+        near, back = await loop.create_datagram_endpoint(Far, remote_addr=("127.0.0.1", relay.port))
+        back.transport = type("Mute", (), {"sendto": staticmethod(lambda *_: None)})
+        for i in range(100):
+            near.sendto(b"%d" % i)
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(0.1)
+        near.close()
+        await relay.close()
+        transport.close()
+        return far.got, back.got
+
+    async def go():
+        far, back = await one(Link(), 1)
+        assert far == back == list(range(100))
+        far, _ = await one(Link(loss=0.3, twice=0.2), 5)
+        assert 40 < len(set(far)) < 95 and len(far) > len(set(far))
+        far, _ = await one(Link(swap=0.3), 5)
+        assert sorted(far) != far and len(far) >= 99
+        far, back = await one(Link(cut=frozenset({BACK})), 5)
+        assert far == list(range(100)) and back == []
+
+    asyncio.run(go())
