lab fleet counts adds the counters of a whole fleet's logs up

It reads logs or folders of them, tells a limiter's lives apart, and says what was said most. Tested with two lives of one limiter, strange lines and missing folders.

--- a/lapisgrade/cli/main.py
+++ b/lapisgrade/cli/main.py
@@ -365,6 +365,22 @@
     click.echo(f"written {out}")
 
 
+@fleet.command("counts")
+@click.argument("logs", nargs=-1, required=True, type=click.Path())
+def fleet_counts(logs) -> None:
+    """Add up the counters in LOGS: limiters' logs, or folders of them (a play's, or a bench's `--logs`)."""
+    from lapisgrade.lab.fleet import counts
+
+    try:
+        found = counts.read(list(logs))
+    except OSError as wrong:
+        click.echo(f"the logs: {wrong}", err=True)
+        sys.exit(2)
+    for line in counts.lines(found):
+        click.echo(line)
+    sys.exit(0 if found.limiters else 1)
+
+
 def _fleet(path: str, seeds: list[int | None], limiters: int | None, out: str | None) -> list:
     """Play the scenario at `path` with each seed; the findings. Ends the command where it can't be played."""
     from pathlib import Path
--- /dev/null
+++ b/tests/fleet/test_counts.py
@@ -0,0 +1,38 @@
+"""Counters of a whole fleet, read from its logs."""
+
+from click.testing import CliRunner
+
+from lapisgrade.cli.main import cli
+from lapisgrade.lab.fleet import counts
+
+ONE = """10:00:00 lg-0: discovery: Busy('status 503')
+10:00:05 lg-0: counts: hops 10, hops answered 9, operations 12
+10:00:09 lg-0: told to end by SIGTERM
+10:00:09 lg-0: counts: hops 20, hops answered 19, operations 22
+10:00:12 lg-0: counts: hops 3, operations 4
+"""
+TWO = """10:00:01 lg-1: discovery: Busy('status 500')
+Traceback (most recent call last):
+10:00:09 lg-1: counts: hops 1, hops timed out 1, operations 2
+"""
+
+
+def test_each_life_of_each_limiter_counts_once(tmp_path):
+    (tmp_path / "a").mkdir()
+    (tmp_path / "a" / "log").write_text(ONE)
+    (tmp_path / "b.log").write_text(TWO)
+    fleet = counts.read([str(tmp_path)])
+    assert fleet.lives == {"lg-0": 2, "lg-1": 1}
+    assert fleet.limiters["lg-0"] == {"hops": 23, "hops answered": 19, "operations": 26}
+    assert fleet.total("operations") == 28 and fleet.total("hops timed out") == 1
+    assert fleet.said["discovery: Busy('status #')"] == 2 and fleet.strange == 1
+    said = "\n".join(counts.lines(fleet))
+    assert "2 limiters, 3 lives" in said and "2 x discovery: Busy('status #')" in said
+
+
+def test_logs_without_counters_and_logs_that_are_not_there_are_said_in_one_line(tmp_path):
+    (tmp_path / "log").write_bytes(b"\xff\x00 nothing\n" + b"x" * 200_000 + b"\n")
+    done = CliRunner().invoke(cli, ["lab", "fleet", "counts", str(tmp_path)])
+    assert done.exit_code == 1 and "no counters" in done.output
+    done = CliRunner().invoke(cli, ["lab", "fleet", "counts", str(tmp_path / "gone")])
+    assert done.exit_code == 2 and "Traceback" not in done.output
