--- a/lapisgrade/__main__.py
+++ b/lapisgrade/__main__.py
@@ -10,11 +10,12 @@
 from lapisgrade.start import Malformed
 
 
-def main() -> int:
+def main(beside=None) -> int:
+    """The limiter until it has ended; `beside` it runs what the command line was told of."""
     try:
         gc.freeze()
         with asyncio.Runner(loop_factory=loop.new) as runner:
-            runner.run(serve(os.environ.get("ROUTER_CONFIG", "")))
+            runner.run(serve(os.environ.get("ROUTER_CONFIG", ""), beside))
     except Malformed as wrong:
         print(f"the configuration: {wrong}", file=sys.stderr)
         return 2
--- a/lapisgrade/cli/demo.py
+++ b/lapisgrade/cli/demo.py
@@ -14,7 +14,7 @@
 import click
 
 from lapisgrade.lab.load import client, schedule
-from lapisgrade.standins.site import Plan, Site
+from lapisgrade.standins.site import Plan, Site, sample
 
 LIVE_S = 1.0  # between live lines
 TOLD_S = 0.1  # how long discovery may take to tell a limiter of a drain, on loopback, on top of the grace
@@ -56,7 +56,8 @@
         if during is not None:
             tasks.append(asyncio.create_task(during(site)))
         if ask.shape is not None:
-            planned = schedule.plan(ask.shape, schedule.Mix(), ask.plan.seed)
+            settings = (ask.plan.template or sample())["settings"]
+            planned = schedule.plan(ask.shape, schedule.mix_of(settings), ask.plan.seed)
             out(f"load: {len(planned)} operations over {ask.shape.seconds:g} s, shape {ask.shape.kind}")
             await load.run(planned)
         else:
--- a/lapisgrade/cli/main.py
+++ b/lapisgrade/cli/main.py
@@ -60,14 +60,26 @@
 
 @cli.command()
 @click.argument("config", type=click.Path(dir_okay=False))
-def serve(config: str) -> None:
+@click.option("--site", type=click.Path(dir_okay=False), default=None,
+              help="an operator's file (deploy/peers.toml), for limiters that may talk to one another")
+def serve(config: str, site: str | None) -> None:
     """Run one limiter as the file CONFIG tells it (SIGTERM ends, SIGHUP reloads, SIGUSR1 counts)."""
     import os
 
     from lapisgrade.__main__ import main as limiter
+    from lapisgrade.net.service import read
 
     os.environ["ROUTER_CONFIG"] = config
-    sys.exit(limiter())
+    beside = None
+    if site is not None:
+        from lapisgrade.members import site as members
+
+        try:
+            beside = members.beside(members.read(site), str(read(config).get("name", "")))
+        except start.Malformed as wrong:
+            click.echo(f"the configuration: {wrong}", err=True)
+            sys.exit(2)
+    sys.exit(limiter(beside))
 
 
 @cli.command()
@@ -146,7 +158,7 @@
 def load(targets, trace, seed, connections, shape, rate, seconds, peak, at_s, length_s):
     """Open-loop load at the limiters at TARGETS (host:port each); latency counted from when each was due."""
     addresses = [_address(each) for each in targets]
-    mix = schedule.Mix()
+    mix = schedule.mix_of(sample()["settings"])
     if trace is not None:
         try:
             if trace.name.endswith(".csv"):
--- a/lapisgrade/decide.py
+++ b/lapisgrade/decide.py
@@ -29,7 +29,7 @@
 CALLS_LESS = 0.7  # of the pace that unanswered ones leave: one in five or so is then unanswered in a crowd
 CALLS_AT_ONCE = 0.05  # s of the pace that may go out together; a counter's time-out or two
 SLICE = 1.5  # even slices of a quota let in while the counter is silent; the design's two overshoots
-GIVEN_BACK = 0.2  # of a count that others' refused calls may take off between two looks, beside their leases
+
 PACE_LIFE = 12 * SECOND  # us; how long what a hop took is remembered, some dozens of hops a server
 HEALTH_LIFE = 4 * SECOND  # us; how long an ill hop is held against its server
 LIMITERS_FEW = 3.0  # limiters that share each part at least; fewer are too uneven a load on its servers
@@ -279,19 +279,19 @@
         before, level = self.count.read(now), self.filled(now)
         if got.tally is Tally.ADDED:
             known, before = before, got.total * math.exp((started - now) / self.life) - new
-            # Of a name that all use, others give back less than this between two looks: else it was emptied.
-            least = (1 - GIVEN_BACK) * known - max(0.0, self.plan.burst - known) / 2
-            if before < max(least * (self.looked > started + self.life), 0.99 * self.own.read(now) - 0.1):
-                started = now
+            if before < 0.99 * self.own.read(now) - 0.1:
+                started = now  # the count was emptied, but for this
                 self.back.add(now, self.own.read(now) - back)
             # Of the others' use since our last look a part is forgotten: taken as even it was so much more
             # (guards against a leak that grows with the limiters). A count emptied, or not yet put back, says
             # less than we know: then they went on as before. A store surely holds what the count leaves.
             lives = (now - self.looked) / self.life if self.looked else 0.0
             forgot = lives / -math.expm1(-lives) if lives > 0 else 1.0
+            others = (before - known) * forgot
             if before < known:
-                before = known + (self.went_on(now) / forgot if self.looked < started else 0.0)
-            level, self.looked = max(level - (before - known) * forgot, self.plan.burst - before), now
+                others = self.went_on(now) if self.looked < started else 0.0
+                before = known + others / forgot
+            level, self.looked = max(level - others, self.plan.burst - before), now
         self.store.put(now, min(self.plan.burst, level) - new)
         self.count.value = before + new
         self.own.add(now, new)
--- a/lapisgrade/lab/emulator/scenario.py
+++ b/lapisgrade/lab/emulator/scenario.py
@@ -48,6 +48,8 @@
     "limiter_term",
     "limiter_pause",
     "counter_swap",
+    "counter_stale",
+    "counter_spoilt",
     "link_cut",
     "link_cut_there",
     "link_cut_back",
@@ -59,7 +61,7 @@
     "disk_flipped",
     "disk_full",
 )
-LINKS = ("counter", "discovery", "server")
+LINKS = ("counter", "discovery", "server", "peer")
 TARGET = re.compile(r"all|\d+(-\d+)?|share:(0(\.\d+)?|1(\.0+)?)|group:[\w-]+")
 SKEW = 1.2  # Pareto shape of the customers' weights: a few send several times the mean; 0: all alike
 
@@ -142,6 +144,7 @@
     leave: Leave = field(default_factory=lambda: Leave(3, True, True, False, 2 * SECOND))
     faults: list[Fault] = field(default_factory=list)
     parties: dict[str, Party] = field(default_factory=dict)
+    peers: bool = False  # the limiters know of one another (processes only)
     clock_offset_ms: float = 0.0  # the limiters' clocks lie evenly within so much to either side
     over_bound: float | None = None  # units over, of any customer in any window, that the scenario allows
 
@@ -276,6 +279,8 @@
 def emulated(path: str) -> Scenario:
     """The scenario in the file at `path`; ScenarioError for a fault that the emulator can't play."""
     sc = read(path)
+    if sc.peers:
+        raise ScenarioError(f"{path}: the emulator can't play run.peers: it needs processes (lab fleet run)")
     for fault in sc.faults:
         at = f"{path}:{fault.line}: the emulator can't play"
         if fault.kind in PROCESS_KINDS:
@@ -322,6 +327,7 @@
     sc.spread = run.whole("spread", 2, 1, 10_000)
     sc.most_units = run.whole("most_units", 2, 1, 1000)
     sc.skew = run.number("skew", SKEW, 0, 100)
+    sc.peers = run.flag("peers", False)
     sc.clock_offset_ms = run.number("clock_offset_ms", 0, 0, 3_600_000)
     bound = run.number("over_bound", -1, -1, 1e9)
     sc.over_bound = bound if bound >= 0 else None
--- a/lapisgrade/lab/fleet/ground.py
+++ b/lapisgrade/lab/fleet/ground.py
@@ -25,18 +25,20 @@
 from lapisgrade.lab.fleet import history as h
 from lapisgrade.lab.fleet import process
 from lapisgrade.lab.fleet.process import Failed, Helper, Process, Supervisor
-from lapisgrade.lab.fleet.relay import BACK, THERE, Link, TcpRelay
+from lapisgrade.lab.fleet.relay import BACK, THERE, Link, TcpRelay, UdpRelay
 from lapisgrade.standins import http
 from lapisgrade.standins.counter import Counter, Manner
 from lapisgrade.standins.discovery import Discovery, Row
 from lapisgrade.standins.site import free_port
 
 LIMITER = (sys.executable, "-m", "lapisgrade")
+SERVE = (sys.executable, "-m", "lapisgrade.cli", "serve")  # one that may read an operator's file
 UP_S = 20.0  # how long a limiter's process may take to answer `GET /up`, on a machine busy with others'
 LOOK_S = 0.03  # between looks whether it is up
 NOTICE_S = 2.0  # discovery tells of a server that vanished so long after, as in the emulator
 SETTLE_S = 0.7  # after the last limiter is up, before the play begins
 ENDS_S = 3.0  # past the longest hard stop, for a limiter that was told to end
+SEEDS = 2  # limiters that every other meets the rest by
 COUNTER_CONNECTIONS = 8  # the stand-in counter takes so many for each limiter, old ones and new ones
 SLOW_S = 0.010  # the emulator's factor of ten on a counter's millisecond
 REPEATS = {Repeat.IDEMPOTENT: "repeatable", Repeat.DEDUPLICATED: "by_key", Repeat.UNREPEATABLE: "once"}
@@ -137,13 +139,14 @@
         self.port = free_port()
         self.agent = Agent(ground.writer, index)
         self.counter_at = ""
-        self.links: dict[str, list[tuple[TcpRelay, int]]] = {kind: [] for kind in scenarios.LINKS}
-        config = self.folder / "config.json"
-        self.process = Process(
-            f"limiter {index}", list(ground.command), self.folder / "log", {"ROUTER_CONFIG": str(config)},
-            self.folder,
-        )
-        self.config = config
+        self.links: dict[str, list[tuple[TcpRelay | UdpRelay, int]]] = {kind: [] for kind in scenarios.LINKS}
+        self.config, self.site = self.folder / "config.json", self.folder / "site.toml"
+        self.peer_port, self.reached_at = 0, ""  # for what other limiters send it
+        args = list(ground.command)
+        if ground.sc.peers:
+            args = [*SERVE, str(self.config), "--site", str(self.site)]
+        env = {"ROUTER_CONFIG": str(self.config)}
+        self.process = Process(f"limiter {index}", args, self.folder / "log", env, self.folder)
         self.wanted = True  # whether it is meant to run; a fault that starts it again looks
 
     def life(self, what: str) -> None:
@@ -161,6 +164,10 @@
             "clock": {"offset_ms": offset},
         }
         self.config.write_text(json.dumps(told, indent=1))
+        if sc.peers:
+            seeds = [each.reached_at for each in self.ground.limiters[:SEEDS]]
+            self.site.write_text(f'[peers]\nlisten = "127.0.0.1:{self.peer_port}"\n'
+                                 f'reached_at = "{self.reached_at}"\nseeds = {json.dumps(seeds)}\n')
 
     async def start(self) -> None:
         """A new process, and wait until it serves; Failed where it ends or is too slow."""
@@ -208,7 +215,7 @@
         self.counter = SeenCounter(most_connections=COUNTER_CONNECTIONS * sc.limiters)
         self.counter.writer = self.writer
         self.swapped: list[SeenCounter] = []
-        self.relays: list[TcpRelay] = []
+        self.relays: list[TcpRelay | UdpRelay] = []
         self.limiters: list[Limiter] = []
         self.servers = Helper("the servers", "lapisgrade.lab.fleet.servers", folder / "servers.log")
         self.clients = Helper("the clients", "lapisgrade.lab.fleet.load", folder / "clients.log")
@@ -279,6 +286,8 @@
                 limiter.counter_at = (await self._relay(limiter, "counter", self.counter.address, 0)).address
             if "discovery" in led:
                 await self._relay(limiter, "discovery", limiter.agent.address, 0)
+            if sc.peers:
+                await self._peer(limiter, "peer" in led)
             for number, address in enumerate(self.addresses):
                 if "server" in led:
                     address = (await self._relay(limiter, "server", address, number)).address
@@ -304,6 +313,15 @@
         limiter.links[kind].append((relay, number))
         return relay
 
+    async def _peer(self, limiter: Limiter, led: bool) -> None:
+        limiter.peer_port = free_port()
+        limiter.reached_at = f"127.0.0.1:{limiter.peer_port}"
+        if led:
+            relay = await UdpRelay(("127.0.0.1", limiter.peer_port), self.chance.getrandbits(48)).open()
+            self.relays.append(relay)
+            limiter.links["peer"].append((relay, limiter.index))
+            limiter.reached_at = relay.address
+
     async def _close(self, within_s: float) -> None:
         for each in self.limiters:
             each.process.resume() if each.process.paused else None
@@ -466,10 +484,12 @@
         for relay in picked:
             turn(relay.link, fault)
             relay.turn()
+        self._part(fault, True)
         if await self._for(fault):
             for relay in picked:
                 relay.link.heal()
                 relay.turn()
+            self._part(fault, False)
 
     def _links(self, fault: Fault) -> list[TcpRelay]:
         """The relays of the links that the fault concerns."""
@@ -485,12 +505,25 @@
         for each in self.limiters:
             here = each.index in inside
             for kind, links in each.links.items():
-                for relay, number in links:
+                for relay, number in links if kind != "peer" else ():
                     there = party.counter if kind == "counter" else number in servers
                     if kind != "discovery" and here != there:  # the agent is on the limiter's own machine
                         made.append(relay)
         return made
 
+    def _part(self, fault: Fault, on: bool) -> None:
+        """What limiters send one another goes by the receiver's relay: that is deaf to those cut off from
+        it. In a partition these are all of the other side; where a link is cut, those whose it is."""
+        apart = fault.kind == "partition"
+        if not apart and (fault.kind not in ("link_cut", "link_cut_back") or fault.link not in ("", "peer")):
+            return
+        inside = set(self._members(fault))
+        for each in self.limiters:
+            away = {other.peer_port for other in self.limiters if other is not each and (
+                (other.index in inside) != (each.index in inside) if apart else other.index in inside)}
+            for relay, _ in each.links["peer"]:
+                relay.deaf = relay.deaf | away if on else relay.deaf - away
+
     async def _on_counter(self, fault: Fault) -> None:
         counter, kind = self.counter, fault.kind.removeprefix("counter_")
         if kind == "lost":
@@ -504,6 +537,10 @@
             counter.turn(Manner.SLOW)
             if await self._for(fault):
                 counter.turn(Manner.WELL)
+        elif kind in ("stale", "spoilt"):
+            counter.turn(Manner(kind))
+            if await self._for(fault):
+                counter.turn(Manner.WELL)
         elif kind == "restart":
             counter.restart()
         elif kind == "split":
--- a/lapisgrade/lab/fleet/relay.py
+++ b/lapisgrade/lab/fleet/relay.py
@@ -182,6 +182,7 @@
     def __init__(self, target: tuple[str, int], seed: int, link: Link | None = None) -> None:
         self.target, self.link, self.random = target, link or Link(), Random(seed)
         self.passed = Passed()
+        self.deaf: set[int] = set()  # ports of sources that are cut off from the target
         self.port = 0
         self._near: asyncio.DatagramTransport | None = None
         self._far: dict[tuple[str, int], asyncio.DatagramTransport] = {}
@@ -208,6 +209,9 @@
                 transport.close()
 
     def datagram_received(self, data: bytes, source: tuple[str, int]) -> None:
+        if source[1] in self.deaf:
+            self.passed.lost += 1
+            return
         task = asyncio.ensure_future(self._there(data, source))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/lapisgrade/lab/load/schedule.py
+++ b/lapisgrade/lab/load/schedule.py
@@ -61,13 +61,27 @@
     """What operations are made of: category names with shares, customers with their plans, units per
     operation (drawn evenly from 1 to `most_units`), and the share that waits only half as long."""
 
-    categories: tuple[tuple[str, float], ...] = (("read", 0.7), ("ticket", 0.2), ("flash", 0.1))
-    customers: tuple[tuple[int, str], ...] = ((1, "basic"), (2, "basic"), (3, "pro"))
-    timeouts_s: tuple[tuple[str, float], ...] = (("read", 1.0), ("ticket", 2.0), ("flash", 4.0))
+    categories: tuple[tuple[str, float], ...]
+    customers: tuple[tuple[int, str], ...]
+    timeouts_s: tuple[tuple[str, float], ...]
     most_units: int = 2
     hasty: float = 0.0
 
 
+SHARES = {"repeatable": 0.7, "by_key": 0.2, "once": 0.1}  # of operations, by how their category may repeat
+CUSTOMERS = 3  # every third has the last plan, the others the first
+
+
+def mix_of(settings: dict) -> Mix:
+    """The mix for limiters with these settings (a configuration's `settings`)."""
+    kinds, plans = settings["RequestClasses"], [each["Name"] for each in settings["TiersOfService"]]
+    return Mix(
+        tuple((each["Name"], SHARES[each.get("Idempotency", "once")]) for each in kinds),
+        tuple((i, plans[-1] if i % CUSTOMERS == 0 else plans[0]) for i in range(1, CUSTOMERS + 1)),
+        tuple((each["Name"], each["Deadline"] / 1000) for each in kinds),
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class Planned:
     """One operation of the schedule: when it is due, who sends it, what it is, how long its sender waits."""
--- a/lapisgrade/lab/quota.py
+++ b/lapisgrade/lab/quota.py
@@ -11,6 +11,7 @@
   customer did not get of those: turned back with room.
 """
 
+import math
 from dataclasses import dataclass
 
 SECOND = 1_000_000
@@ -84,3 +85,44 @@
         "beyond_share": sum(each.admitted - each.inside for each in kept) / sum(allowed),
         "short_share": sum(each.short for each in kept) / sum(allowed),
     }
+
+
+@dataclass(frozen=True, slots=True)
+class Bound:
+    """The most units over that docs/design/counter-loss.md states, for one customer of `limiters` limiters
+    whose operations take `units` at the most; `slices` is the module's SLICE, `knock_s` its breaker's wait.
+    """
+
+    rate: float
+    burst: float
+    limiters: int
+    units: float
+    slices: float
+    knock_s: float = 1.0
+
+    @property
+    def life_s(self) -> float:
+        return max(1.0, self.burst / self.rate)
+
+    def healthy(self, seconds: float, look_s: float, answer_s: float) -> float:
+        """With a counter that answers; `look_s` is the longest between two looks of one limiter."""
+        lives = max(1e-9, look_s / self.life_s)
+        evenly = (self.rate * seconds + self.burst) * (math.expm1(lives) / lives - 1)
+        return self.units + self.rate * answer_s + evenly
+
+    def cut_off(self, limiters: int, seconds: float) -> float:
+        """So many limiters hear nothing from the counter for so long: the room last told until the breaker
+        opens, then the local slices until a call is answered again. Where all are cut off, nobody else lets
+        the quota's own rate in meanwhile."""
+        part, lasts = limiters / self.limiters, seconds + 2 * self.knock_s
+        over = part * (self.slices * (self.rate * lasts + self.burst) + 2 * self.burst)
+        over += limiters * self.units
+        return over - (self.rate * seconds if limiters == self.limiters else 0.0)
+
+    def emptied(self, times: int = 1) -> float:
+        """The counter forgets everything, or another takes its place: at worst nobody who knew is left."""
+        return times * self.burst
+
+    def split(self, halves: int, seconds: float) -> float:
+        """So many halves each believe themselves whole for so long."""
+        return (halves - 1) * (self.rate * (seconds + self.knock_s) + self.burst)
--- a/lapisgrade/net/service.py
+++ b/lapisgrade/net/service.py
@@ -1,9 +1,11 @@
 """Puts one limiter together from what it is told at its start, and runs it until it is told to end."""
 
 import asyncio
+import contextlib
 import json
 import signal
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 from lapisgrade import start
@@ -125,8 +127,11 @@
     return told
 
 
-async def serve(path: str) -> None:
-    """Run one limiter as this process, as the file there tells it.
+async def serve(
+    path: str, beside: Callable[["Service"], contextlib.AbstractAsyncContextManager] | None = None
+) -> None:
+    """Run one limiter as this process, as the file there tells it, with what runs `beside` it where that
+    is given.
 
     SIGTERM ends it, SIGHUP has it read the file again, SIGUSR1 prints its counters.
     """
@@ -147,4 +152,5 @@
         loop.add_signal_handler(each, end, each)
     loop.add_signal_handler(signal.SIGHUP, reload)
     loop.add_signal_handler(signal.SIGUSR1, service.report)
-    await service.run()
+    async with beside(service) if beside is not None else contextlib.nullcontext():
+        await service.run()
--- /dev/null
+++ b/lapisgrade/peers/frame.py
@@ -0,0 +1,67 @@
+"""One frame: a version, who sends it, and one message, as msgspec msgpack. Pure.
+
+A frame is refused with one plain reason, never with an exception of the library's: it came from anybody.
+"""
+
+import msgspec
+
+from lapisgrade.members import core
+
+VERSION = 1
+MOST_BYTES = 1400  # of one datagram: under the smallest usual path's packet, so that none is cut in two
+MOST_NAME = core.MOST_NAME
+
+
+class Frame(msgspec.Struct, array_like=True, frozen=True):
+    """What goes over the wire. The incarnation tells lives of one name apart."""
+
+    version: int
+    name: str
+    incarnation: int
+    message: core.Message
+
+
+class Refused(ValueError):
+    """Bytes that are no frame of ours; says why, in a few words that do not repeat them."""
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Frame)
+_VERSION = msgspec.msgpack.Decoder(list[msgspec.Raw])
+
+
+def encode(name: str, incarnation: int, message: core.Message) -> bytes:
+    """The frame's bytes. What rides on a message is dropped from its end until it fits into one datagram."""
+    while True:
+        data = _ENCODER.encode(Frame(VERSION, name, incarnation, message))
+        if len(data) <= MOST_BYTES or not message.news:
+            return data
+        over = len(data) - MOST_BYTES
+        fewer = max(1, over * len(message.news) // len(data))
+        message = msgspec.structs.replace(message, news=message.news[:-fewer])
+
+
+def decode(data: bytes) -> Frame:
+    """The frame in these bytes; Refused where they hold none that we read."""
+    if len(data) > MOST_BYTES:
+        raise Refused("longer than a datagram of ours")
+    try:
+        frame = _DECODER.decode(data)
+    except msgspec.MsgspecError:
+        raise Refused(_why(data)) from None
+    if frame.version != VERSION:
+        raise Refused(f"version {frame.version}, not {VERSION}")
+    if not 0 < len(frame.name) <= MOST_NAME or frame.incarnation < 0:
+        raise Refused("a name or incarnation out of range")
+    return frame
+
+
+def _why(data: bytes) -> str:
+    """Another version may differ in all but its first field."""
+    try:
+        version = msgspec.msgpack.decode(_VERSION.decode(data)[0])
+    except (msgspec.MsgspecError, IndexError):
+        return "not a frame"
+    if isinstance(version, int) and not isinstance(version, bool) and version != VERSION:
+        return f"version {version}, not {VERSION}"
+    return "not a frame"
--- /dev/null
+++ b/tests/fleet/test_member_processes.py
@@ -0,0 +1,185 @@
+"""Members as processes: killed, stopped, cut off through relays; held to the bounds of
+docs/design/membership.md."""
+
+import asyncio
+import sys
+import time
+
+import msgspec
+import pytest
+
+from lapisgrade.lab.fleet.process import Process, Supervisor
+from lapisgrade.lab.fleet.relay import THERE, Link, UdpRelay
+from lapisgrade.members.core import Pace, detection_us
+from lapisgrade.peers import frame
+from lapisgrade.peers.udp import A_SECOND
+from lapisgrade.standins.site import free_port
+
+BUSY = 3.0  # times the stated bound: what a machine busy with other work may add
+
+
+class Node:
+    """One member's process, what it holds of the others, and the relay that others reach it through."""
+
+    def __init__(self, name: str, folder) -> None:
+        self.name, self.folder, self.port = name, folder, free_port()
+        self.relay: UdpRelay | None = None
+        self.process: Process | None = None
+        self.holds: dict[str, str] = {}
+        self.last: dict = {}
+        self._reading: asyncio.Task | None = None
+
+    async def start(self, supervisor: Supervisor, seeds: list[str], link: Link) -> None:
+        if self.relay is None:
+            self.relay = await UdpRelay(("127.0.0.1", self.port), 1, link).open()
+        args = [sys.executable, "-m", "lapisgrade.members", self.name, f"127.0.0.1:{self.port}", *seeds,
+                "--at", self.relay.address]
+        self.holds = {}
+        self.process = Process(self.name, args, self.folder / f"{self.name}.log", piped=True)
+        await supervisor.start(self.process)
+        self._reading = asyncio.create_task(self._read(self.process.child.stdout))
+
+    async def _read(self, stdout: asyncio.StreamReader) -> None:
+        while line := await stdout.readline():
+            said = msgspec.json.decode(line)
+            if "name" in said:
+                self.holds[said["name"]] = said["state"]
+            else:
+                self.last = said
+
+    async def end(self) -> dict:
+        await self.process.end()
+        await self._reading
+        return self.last
+
+
+class Fleet:
+    def __init__(self, folder, count: int, link: Link | None = None) -> None:
+        self.nodes = {f"m{i}": Node(f"m{i}", folder) for i in range(count)}
+        self.supervisor, self.link = Supervisor(), link or Link()
+
+    async def __aenter__(self):
+        await self.supervisor.__aenter__()
+        for node in self.nodes.values():
+            await node.start(self.supervisor, self.seeds(), self.link)
+        await self.until(lambda: self.agree(set(self.nodes)), 30)
+        return self
+
+    async def __aexit__(self, *wrong):
+        await self.supervisor.__aexit__(*wrong)
+        for node in self.nodes.values():
+            await node.relay.close()
+
+    def seeds(self) -> list[str]:
+        return [node.relay.address for node in list(self.nodes.values())[:2] if node.relay is not None]
+
+    def live(self) -> list[Node]:
+        return [node for node in self.nodes.values() if node.process.running and not node.process.paused]
+
+    def agree(self, names: set[str], among: set[str] | None = None) -> bool:
+        for node in self.live():
+            if among is None or node.name in among:
+                held = {name for name, state in node.holds.items() if state != "dead"}
+                if held != names - {node.name}:
+                    return False
+        return True
+
+    async def until(self, look, within_s: float) -> None:
+        """Wait for it; an AssertionError where it does not come about."""
+        ends = time.monotonic() + within_s
+        while not look():
+            held = {node.name: node.holds for node in self.live()}
+            assert time.monotonic() < ends, held
+            await asyncio.sleep(0.02)
+
+
+def within(count: int, lost: float = 0.0) -> float:
+    return BUSY * detection_us(Pace(), count, lost, 1)["known"] / 1e6
+
+
+def test_killed_stopped_and_restarted_members_are_known_everywhere(tmp_path):
+    async def go():
+        async with Fleet(tmp_path, 5) as fleet:
+            everybody = set(fleet.nodes)
+            for name in ("m0", "m1"):
+                await fleet.nodes[name].process.kill()
+            await fleet.until(lambda: fleet.agree(everybody - {"m0", "m1"}), within(5))
+            await fleet.nodes["m0"].start(fleet.supervisor, [fleet.nodes["m3"].relay.address], fleet.link)
+            await fleet.until(lambda: fleet.agree(everybody - {"m1"}), within(5))
+            fleet.nodes["m2"].process.pause()
+            await fleet.until(lambda: fleet.agree(everybody - {"m1", "m2"}), within(5))
+            fleet.nodes["m2"].process.resume()
+            await fleet.until(lambda: fleet.agree(everybody - {"m1"}), within(5))
+            said = [await node.end() for node in fleet.live()]
+            assert all(each["counts"]["refuted"] >= 0 and each["counts"]["sent"] for each in said)
+
+    asyncio.run(go())
+
+
+@pytest.mark.parametrize("link", [Link(), Link(loss=0.2, twice=0.1, swap=0.1)], ids=["sound", "lossy"])
+def test_one_that_is_cut_off_is_dead_to_the_rest_and_back_when_healed(link, tmp_path):
+    async def go():
+        async with Fleet(tmp_path, 5, link) as fleet:
+            everybody, lone = set(fleet.nodes), fleet.nodes["m4"]
+            lone.relay.link = Link(cut=frozenset({THERE}))  # hears nothing, can still be heard
+            rest = everybody - {"m4"}
+            await fleet.until(lambda: fleet.agree(rest, rest), within(5, link.loss))
+            for node in fleet.nodes.values():
+                node.relay.link = Link(cut=frozenset({THERE}))  # now nobody hears anybody
+            await fleet.until(lambda: all(set(node.holds.values()) == {"dead"} for node in fleet.live()),
+                              2 * within(5, 0.5))
+            for node in fleet.nodes.values():
+                node.relay.link = link
+            await fleet.until(lambda: fleet.agree(everybody), 60)
+
+    asyncio.run(go())
+
+
+def test_a_flood_another_version_and_noise_cost_a_bound_and_one_line(tmp_path):
+    async def go():
+        async with Fleet(tmp_path, 3) as fleet:
+            one = fleet.nodes["m0"]
+            loop = asyncio.get_running_loop()
+            flood, _ = await loop.create_datagram_endpoint(asyncio.DatagramProtocol,
+                                                           remote_addr=("127.0.0.1", one.port))
+            ping = frame.encode("m9", 1, frame.core.Ping(1, "nobody"))
+            other = msgspec.msgpack.encode([frame.VERSION + 1, {"a": 1}])
+            for i in range(6 * A_SECOND):
+                flood.sendto((ping, other, b"noise", b"\xc1" * 3000)[i % 4])
+                if i % 50 == 0:
+                    await asyncio.sleep(0.005)
+            await asyncio.sleep(0.5)
+            assert fleet.agree(set(fleet.nodes))
+            said = await one.end()
+            assert said["counts"]["peer frames too many"] > 0 and said["counts"]["peer frames refused"] > 0
+            assert said["alive"] == ["m0", "m1", "m2"]
+            log = (tmp_path / "m0.log").read_text()
+            assert log.count("a frame from") == 1 and "Traceback" not in log
+
+    asyncio.run(go())
+
+
+def test_a_member_that_cannot_listen_says_so_in_one_line(tmp_path):
+    async def go():
+        child = Process("m", [sys.executable, "-m", "lapisgrade.members", "m", "nowhere"], tmp_path / "log")
+        async with Supervisor() as supervisor:
+            await supervisor.start(child)
+            assert await child.wait() == 2
+            assert (tmp_path / "log").read_text().startswith("the member could not start: listen is not")
+
+    asyncio.run(go())
+
+
+def test_frames_fit_a_datagram_and_strange_ones_are_refused_plainly():
+    news = [frame.core.News(f"limiter-with-a-long-name-{i:03}", f"127.0.0.1:{10_000 + i}", 1 << 40, 0)
+            for i in range(40)]
+    data = frame.encode("m0", 5, frame.core.Sync(True, news))
+    got = frame.decode(data)
+    assert len(data) <= frame.MOST_BYTES and 10 < len(got.message.news) < 40 and got.name == "m0"
+    for bad, why in ((b"", "not a frame"), (b"x" * 2000, "longer"),
+                     (msgspec.msgpack.encode([2, "a"]), "version 2"),
+                     (msgspec.msgpack.encode([1, "", 1, ["p", 1, "a", []]]), "out of range"),
+                     (msgspec.msgpack.encode([1, "a", 1, ["z", 1]]), "not a frame"),
+                     (msgspec.msgpack.encode({"a": 1}), "not a frame")):
+        with pytest.raises(frame.Refused, match=why):
+            frame.decode(bad)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -12,9 +12,10 @@
 from lapisgrade.cli.main import cli
 from lapisgrade.lab.load import client, schedule
 from lapisgrade.standins import counter, discovery, servers
-from lapisgrade.standins.site import Plan
+from lapisgrade.standins.site import Plan, sample
 
 SECOND = 1_000_000
+MIX = schedule.mix_of(sample()["settings"])
 
 
 def run(work, seconds=60):
@@ -204,21 +205,21 @@
 
 def test_a_schedule_is_the_same_for_a_seed_and_keeps_its_shape():
     burst = schedule.Shape("burst", rate=20, seconds=10, peak=200, at_s=4, length_s=2)
-    one, two = schedule.plan(burst, schedule.Mix(), 5), schedule.plan(burst, schedule.Mix(), 5)
-    assert one == two and one != schedule.plan(burst, schedule.Mix(), 6)
+    one, two = schedule.plan(burst, MIX, 5), schedule.plan(burst, MIX, 5)
+    assert one == two and one != schedule.plan(burst, MIX, 6)
     inside = sum(4 * SECOND <= each.due_us < 6 * SECOND for each in one)
     assert 300 < inside < 500 and 100 < len(one) - inside < 220
     assert len(schedule.arrivals(schedule.Shape("constant", 50, 2), None)) == 100
     with pytest.raises(schedule.BadShape, match="not one of"):
         schedule.arrivals(schedule.Shape("wave"), None)
     with pytest.raises(schedule.BadShape, match="trace row 2"):
-        schedule.from_trace([{"t_s": 0, "customer": 1, "category": "read"}, {"t_s": "soon"}], schedule.Mix())
+        schedule.from_trace([{"t_s": 0, "customer": 1, "category": "read"}, {"t_s": "soon"}], MIX)
 
 
 def test_a_stall_of_one_second_shows_across_the_distribution():
     async def go():
         server = await servers.Server("s0", servers.Knobs(capacity=500, queue=500, median_s=0.002), 3).open()
-        planned = schedule.plan(schedule.Shape("constant", 100, 3), schedule.Mix(), 1)
+        planned = schedule.plan(schedule.Shape("constant", 100, 3), MIX, 1)
         tool = client.Client([("127.0.0.1", server.port)], 1)
         asyncio.get_running_loop().call_later(1.0, server.pause, 1.0)
         tally = await tool.run(planned)
@@ -283,7 +284,7 @@
     (tmp_path / "t.csv").write_text(rows)
     (tmp_path / "t.jsonl").write_text('{"t_s": 0.1, "customer": 5, "category": "read"}\n{"t_s": "x"}\n')
     row = {"t_s": "0.0", "customer": "5", "category": "read"}  # as csv reads it: text
-    assert len(schedule.from_trace([row], schedule.Mix())) == 1
+    assert len(schedule.from_trace([row], MIX)) == 1
     bad = runner.invoke(cli, ["load", "127.0.0.1:9", "--trace", str(tmp_path / "t.jsonl")])
     assert bad.exit_code == 2 and "trace row 2" in bad.output
     # Nothing listens at port 9 of loopback: both operations are given up at once, none lost.
