--- a/lapisgrade/lab/fleet/ground.py
+++ b/lapisgrade/lab/fleet/ground.py
@@ -29,7 +29,7 @@
 from lapisgrade.standins import http
 from lapisgrade.standins.counter import Counter, Manner
 from lapisgrade.standins.discovery import Discovery, Row
-from lapisgrade.standins.site import free_port
+from lapisgrade.standins.site import answers_up, free_port
 
 LIMITER = (sys.executable, "-m", "lapisgrade")
 SERVE = (sys.executable, "-m", "lapisgrade.cli", "serve")  # one that may read an operator's file
@@ -179,27 +179,13 @@
         while time.monotonic() < until:
             if not self.process.running:
                 raise Failed(f"limiter {self.index} ended while starting, see {self.process.log}")
-            if await answers_up(self.port):
+            if await answers_up(("127.0.0.1", self.port)):
                 self.life("up")
                 return
             await asyncio.sleep(LOOK_S)
         raise Failed(f"limiter {self.index} did not come up in {UP_S:g} s")
 
 
-async def answers_up(port: int) -> bool:
-    """Whether `GET /up` gets 200 there."""
-    try:
-        async with asyncio.timeout(1.0):
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
-            try:
-                writer.write(b"GET /up HTTP/1.1\r\nHost: up\r\n\r\n")
-                return b" 200 " in await reader.readline()
-            finally:
-                writer.transport.abort()
-    except (OSError, TimeoutError):
-        return False
-
-
 class Ground:
     """Everything of one play."""
 
--- a/lapisgrade/standins/site.py
+++ b/lapisgrade/standins/site.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import contextlib
 import copy
 import json
 import socket
@@ -121,6 +120,20 @@
         await server.kill()
 
 
+async def answers_up(address: tuple[str, int], within_s: float = 1.0) -> bool:
+    """Whether the limiter at `address` answers `GET /up` with 200."""
+    try:
+        async with asyncio.timeout(within_s):
+            reader, writer = await asyncio.open_connection(*address)
+            try:
+                writer.write(b"GET /up HTTP/1.1\r\nHost: up\r\n\r\n")
+                return b" 200 " in await reader.readline()
+            finally:
+                writer.transport.abort()
+    except (OSError, TimeoutError):
+        return False
+
+
 async def up(address: tuple[str, int], runs: list[asyncio.Task]) -> None:
     """Wait until the limiter at `address` answers `GET /up` with 200; RuntimeError if it ends or is slow."""
     loop = asyncio.get_running_loop()
@@ -130,14 +143,7 @@
             if run.done():
                 run.result()
                 raise RuntimeError("a limiter ended while starting")
-        with contextlib.suppress(OSError):
-            reader, writer = await asyncio.open_connection(*address)
-            try:
-                writer.write(b"GET /up HTTP/1.1\r\nHost: up\r\n\r\n")
-                first = await asyncio.wait_for(reader.readline(), 1.0)
-                if b" 200 " in first:
-                    return
-            finally:
-                writer.transport.abort()
+        if await answers_up(address):
+            return
         await asyncio.sleep(LOOK_S)
     raise RuntimeError(f"the limiter at {address[0]}:{address[1]} did not come up in {UP_S:g} s")
