Ctrl-C in the midst of a fault leaves no task that writes to a closed history

Seen with five runs of tests/fleet/test_plays.py side by side: one of five had a traceback after Ctrl-C, as a fault's task went on when the history was closed. Faults are ended first now, and one that failed still fails the play. Eight runs side by side of the plays concerned: all passed; the whole file once more, alone: passed.

--- a/lapisgrade/lab/fleet/ground.py
+++ b/lapisgrade/lab/fleet/ground.py
@@ -209,6 +209,7 @@
         self.held: list[tuple[str, int]] | None = None  # news that discovery keeps back
         self.unclean = 0  # limiters that had to be killed at the end
         self._begun = 0.0
+        self._playing: asyncio.Task | None = None  # the faults, each at its time
         self._undoing: list[asyncio.Task] = []
 
     # ---- the play
@@ -231,18 +232,22 @@
                     seconds=sc.seconds_us / h.SECOND, settings=settings(sc, 0), over_bound=sc.over_bound,
                     leeway_us=leeway,
                 ))
-                faults = asyncio.create_task(self._faults())
+                self._playing = asyncio.create_task(self._faults())
                 longest_us = max(each.hard_stop_us for each in sc.categories)
                 within_s = (sc.seconds_us + 6 * longest_us) / h.SECOND + 30.0
                 await self.clients.ask(within_s, do="play", start_us=start_us)
                 self.writer.put(h.End(at=start_us + sc.seconds_us))
-                faults.cancel()
-                with contextlib.suppress(asyncio.CancelledError):
-                    await faults
+                self._playing.cancel()
+                (ended,) = await asyncio.gather(self._playing, return_exceptions=True)
+                if isinstance(ended, Exception):
+                    raise ended  # a fault that could not be brought on: the play shows nothing
                 await self._close(longest_us / h.SECOND + ENDS_S)
             finally:
-                for task in self._undoing:
+                # Nobody writes to the history once it is closed (guards Ctrl-C in the midst of a fault).
+                under_way = [task for task in (self._playing, *self._undoing) if task is not None]
+                for task in under_way:
                     task.cancel()
+                await asyncio.gather(*under_way, return_exceptions=True)
                 for relay in self.relays:
                     await relay.close()
                 for each in (self.counter, *self.swapped, *(each.agent for each in self.limiters)):
