--- a/lapisgrade/lab/fleet/checker.py
+++ b/lapisgrade/lab/fleet/checker.py
@@ -91,7 +91,6 @@
 
     down: bool = False
     paused: bool = False
-    paused_since: int = 0
     resumed: int = 0  # when it last went on
 
 
@@ -331,7 +330,7 @@
             for key in [key for key in self._told if key[0] == event.limiter]:
                 del self._told[key]
         elif event.what == "paused":
-            life.paused, life.paused_since = True, event.at
+            life.paused = True
         elif event.what == "resumed":
             life.paused, life.resumed = False, event.at
         if life.down or life.paused:
--- a/lapisgrade/lab/fleet/ground.py
+++ b/lapisgrade/lab/fleet/ground.py
@@ -14,7 +14,6 @@
 import signal
 import sys
 import time
-from collections.abc import Callable
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -147,7 +146,6 @@
             args = [*SERVE, str(self.config), "--site", str(self.site)]
         env = {"ROUTER_CONFIG": str(self.config)}
         self.process = Process(f"limiter {index}", args, self.folder / "log", env, self.folder)
-        self.wanted = True  # whether it is meant to run; a fault that starts it again looks
 
     def life(self, what: str) -> None:
         self.ground.writer.put(h.Life(at=h.now_us(), limiter=self.index, what=what, pid=self.process.pid))
@@ -207,7 +205,6 @@
         self.clients = Helper("the clients", "lapisgrade.lab.fleet.load", folder / "clients.log")
         self.addresses: list[str] = []
         self.held: list[tuple[str, int]] | None = None  # news that discovery keeps back
-        self.unclean = 0  # limiters that had to be killed at the end
         self._begun = 0.0
         self._playing: asyncio.Task | None = None  # the faults, each at its time
         self._undoing: list[asyncio.Task] = []
@@ -316,8 +313,7 @@
     async def _close(self, within_s: float) -> None:
         for each in self.limiters:
             each.process.resume() if each.process.paused else None
-        ended = await asyncio.gather(*(each.process.end(within_s) for each in self.limiters))
-        self.unclean = ended.count(False)
+        await asyncio.gather(*(each.process.end(within_s) for each in self.limiters))
         await self.servers.ask(do="close")
         for helper in (self.clients, self.servers):
             helper.child.stdin.close()
@@ -330,25 +326,19 @@
             wait = self._begun + fault.at_us / h.SECOND - time.monotonic()
             if wait > 0:
                 await asyncio.sleep(wait)
-            if fault.kind == "surge":  # the clients' schedule has it
-                self._mark(fault, True)
-                self._later(fault, lambda fault=fault: self._mark(fault, False))
-                continue
-            task = asyncio.create_task(self._one(fault))
-            self._undoing.append(task)
+            # A surge is in the clients' schedule: here it is only marked.
+            work = self._surge(fault) if fault.kind == "surge" else self._one(fault)
+            self._undoing.append(asyncio.create_task(work))
         if self._undoing:
             await asyncio.gather(*self._undoing)
 
     def _mark(self, fault: Fault, on: bool) -> None:
         self.writer.put(h.Fault(at=h.now_us(), what=fault.kind, target=fault.target, on=on))
 
-    def _later(self, fault: Fault, act: Callable[[], Any]) -> None:
-        async def wait() -> None:
-            await asyncio.sleep(fault.for_us / h.SECOND)
-            act()
-
-        if fault.for_us:
-            self._undoing.append(asyncio.create_task(wait()))
+    async def _surge(self, fault: Fault) -> None:
+        self._mark(fault, True)
+        if await self._for(fault):
+            self._mark(fault, False)
 
     async def _one(self, fault: Fault) -> None:
         """One fault, from its beginning to its end."""
--- a/lapisgrade/lab/fleet/servers.py
+++ b/lapisgrade/lab/fleet/servers.py
@@ -75,10 +75,6 @@
             await self.all[i].open()
         return {"addresses": [self.all[i].address for i in which]}
 
-    async def do_counts(self) -> dict[str, Any]:
-        names = ("asked", "served", "errors", "turned_away", "no_id", "probes")
-        return {name: sum(getattr(each.counts, name) for each in self.all) for name in names}
-
     async def do_close(self) -> dict[str, Any]:
         for each in self.all:
             await each.kill()
--- a/lapisgrade/members/core.py
+++ b/lapisgrade/members/core.py
@@ -124,7 +124,6 @@
 
     asker: str  # address
     number: int  # the asker's
-    target: str
     says_missed_at_us: int
 
 
@@ -282,7 +281,7 @@
             return []
         self._number = (self._number + 1) % (1 << 31)
         wait = self.pace.answer_us * 4 // 5  # its word must come before the asker's time is up
-        self._relayed[self._number] = Relayed(source, message.number, message.name, self.now + wait)
+        self._relayed[self._number] = Relayed(source, message.number, self.now + wait)
         return [self._send(message.address, Ping(self._number, message.name))]
 
     def _ack(self, message: Ack) -> list[Send]:
