--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 
 lint: build
 	.venv/bin/ruff check .
+	.venv/bin/ruff format --check .
 
 test: build
 	$(PY) -m pytest
--- a/lapisgrade/cli/demo.py
+++ b/lapisgrade/cli/demo.py
@@ -108,8 +108,10 @@
     late = [after for after in servers.after_drain if after > ask.grace_s + TOLD_S]
     if late:
         broken.append(f"{len(late)} operations came to a draining server past the grace")
-    out(f"servers: took {servers.asked}, finished {servers.served}, erred {servers.errors}, "
-        f"turned away {servers.turned_away}; counter: {site.counter.tally.added} additions")
+    out(
+        f"servers: took {servers.asked}, finished {servers.served}, erred {servers.errors}, "
+        f"turned away {servers.turned_away}; counter: {site.counter.tally.added} additions"
+    )
     for line in broken:
         out(f"RULE BROKEN: {line}")
     if not broken:
@@ -133,4 +135,3 @@
     except KeyboardInterrupt:
         click.echo("interrupted", err=True)
         return 130
-
--- a/lapisgrade/cli/main.py
+++ b/lapisgrade/cli/main.py
@@ -32,14 +32,18 @@
 
 def shape_options(command):
     """The options that say the traffic's shape."""
-    for option in reversed([
-        click.option("--shape", type=SHAPE, default="poisson", show_default=True, help="how arrivals come"),
-        click.option("--rate", type=float, default=40.0, show_default=True, help="operations a second"),
-        click.option("--seconds", type=float, default=10.0, show_default=True, help="length of the load"),
-        click.option("--peak", type=float, default=0.0, help="rate of the step, burst or ramp's end"),
-        click.option("--at", "at_s", type=float, default=0.0, help="s into the run: the step or burst"),
-        click.option("--length", "length_s", type=float, default=0.0, help="s that a burst lasts"),
-    ]):
+    for option in reversed(
+        [
+            click.option(
+                "--shape", type=SHAPE, default="poisson", show_default=True, help="how arrivals come"
+            ),
+            click.option("--rate", type=float, default=40.0, show_default=True, help="operations a second"),
+            click.option("--seconds", type=float, default=10.0, show_default=True, help="length of the load"),
+            click.option("--peak", type=float, default=0.0, help="rate of the step, burst or ramp's end"),
+            click.option("--at", "at_s", type=float, default=0.0, help="s into the run: the step or burst"),
+            click.option("--length", "length_s", type=float, default=0.0, help="s that a burst lasts"),
+        ]
+    ):
         command = option(command)
     return command
 
@@ -60,8 +64,12 @@
 
 @cli.command()
 @click.argument("config", type=click.Path(dir_okay=False))
-@click.option("--site", type=click.Path(dir_okay=False), default=None,
-              help="an operator's file (deploy/peers.toml), for limiters that may talk to one another")
+@click.option(
+    "--site",
+    type=click.Path(dir_okay=False),
+    default=None,
+    help="an operator's file (deploy/peers.toml), for limiters that may talk to one another",
+)
 def serve(config: str, site: str | None) -> None:
     """Run one limiter as the file CONFIG tells it (SIGTERM ends, SIGHUP reloads, SIGUSR1 counts)."""
     import os
@@ -86,10 +94,20 @@
 @click.option("--load/--no-load", default=False, help="drive an open-loop load at the limiters, then end")
 @click.option("--limiters", type=click.IntRange(1, 16), default=2, show_default=True)
 @click.option("--servers", type=click.IntRange(1, 64), default=4, show_default=True)
-@click.option("--capacity", type=click.IntRange(1, 10_000), default=8, show_default=True,
-              help="operations at work at once on each server")
-@click.option("--leave", "leave_at_s", type=float, default=None,
-              help="s into the run at which server s0 drains and then dies")
+@click.option(
+    "--capacity",
+    type=click.IntRange(1, 10_000),
+    default=8,
+    show_default=True,
+    help="operations at work at once on each server",
+)
+@click.option(
+    "--leave",
+    "leave_at_s",
+    type=float,
+    default=None,
+    help="s into the run at which server s0 drains and then dies",
+)
 @click.option("--seed", type=int, default=1, show_default=True)
 @shape_options
 def demo(load, limiters, servers, capacity, leave_at_s, seed, shape, rate, seconds, peak, at_s, length_s):
@@ -148,12 +166,21 @@
 
 @cli.command()
 @click.argument("targets", nargs=-1, required=True)
-@click.option("--trace", type=click.File("r"), default=None,
-              help="a trace in place of a shape: CSV with a header, or JSON lines, of t_s, customer, "
-              "category[, plan, units, timeout_s]")
+@click.option(
+    "--trace",
+    type=click.File("r"),
+    default=None,
+    help="a trace in place of a shape: CSV with a header, or JSON lines, of t_s, customer, "
+    "category[, plan, units, timeout_s]",
+)
 @click.option("--seed", type=int, default=1, show_default=True)
-@click.option("--connections", type=click.IntRange(1, 10_000), default=256, show_default=True,
-              help="connections to each limiter at the most")
+@click.option(
+    "--connections",
+    type=click.IntRange(1, 10_000),
+    default=256,
+    show_default=True,
+    help="connections to each limiter at the most",
+)
 @shape_options
 def load(targets, trace, seed, connections, shape, rate, seconds, peak, at_s, length_s):
     """Open-loop load at the limiters at TARGETS (host:port each); latency counted from when each was due."""
@@ -209,14 +236,22 @@
 
 @lab.command("run")
 @click.argument("scenario", type=click.Path(dir_okay=False))
-@click.option("--policy", type=click.Choice(["module", "local", "central"]), default=None,
-              help="in place of the scenario's: the decision module or a baseline")
+@click.option(
+    "--policy",
+    type=click.Choice(["module", "local", "central"]),
+    default=None,
+    help="in place of the scenario's: the decision module or a baseline",
+)
 @click.option("--seed", type=int, default=None, help="in place of the scenario's")
 @click.option("--limiters", type=click.IntRange(1, 10_000), default=None, help="in place of the scenario's")
 @click.option("--servers", type=click.IntRange(1, 10_000), default=None, help="in place of the scenario's")
 @click.option("--customers", type=click.IntRange(1, 1_000_000), default=None)
-@click.option("--out", type=click.Path(dir_okay=False), default=None,
-              help="where the result goes as JSON (default: lab-runs/NAME-POLICY-SEED.json)")
+@click.option(
+    "--out",
+    type=click.Path(dir_okay=False),
+    default=None,
+    help="where the result goes as JSON (default: lab-runs/NAME-POLICY-SEED.json)",
+)
 def lab_run(scenario, policy, seed, limiters, servers, customers, out) -> None:
     """Play SCENARIO (TOML, see docs/lab.md) and write its result; exit 1 where a rule broke."""
     from lapisgrade.lab.emulator import scenario as scenarios
@@ -227,8 +262,10 @@
     except scenarios.ScenarioError as wrong:
         click.echo(f"the scenario: {wrong}", err=True)
         sys.exit(2)
-    scenarios.changed(played, {"policy": policy, "seed": seed, "limiters": limiters, "servers": servers,
-                               "customers": customers})
+    scenarios.changed(
+        played,
+        {"policy": policy, "seed": seed, "limiters": limiters, "servers": servers, "customers": customers},
+    )
     result = World(played).run()
     path = out or f"lab-runs/{played.name}-{played.policy}-{played.seed}.json"
     import os
@@ -238,14 +275,19 @@
         json.dump(result.as_dict(), file)
     ends = ", ".join(f"{name} {count}" for name, count in result.ends.items())
     click.echo(f"{result.name} ({result.policy}, seed {result.seed}): {result.operations} operations: {ends}")
-    click.echo(f"payoff share {result.payoff_share:.3f}; latency ms p50 {result.latency_ms['p50']:.1f} "
-               f"p99 {result.latency_ms['p99']:.1f}; overshoot p99 {result.overshoot['p99']:.3f}; "
-               f"counter calls {result.counter_calls}")
-    click.echo(f"{result.events} events in {result.wall_s:.1f} s ({result.events_per_s:,.0f} a second), "
-               f"{result.peak_mb:.0f} MB at most; written to {path}")
+    click.echo(
+        f"payoff share {result.payoff_share:.3f}; latency ms p50 {result.latency_ms['p50']:.1f} "
+        f"p99 {result.latency_ms['p99']:.1f}; overshoot p99 {result.overshoot['p99']:.3f}; "
+        f"counter calls {result.counter_calls}"
+    )
+    click.echo(
+        f"{result.events} events in {result.wall_s:.1f} s ({result.events_per_s:,.0f} a second), "
+        f"{result.peak_mb:.0f} MB at most; written to {path}"
+    )
     for breach in result.breaches[:10]:
-        click.echo(f"RULE {breach['rule']} BROKEN at step {breach['step']}: {breach['what']} "
-                   f"({breach['operation']})")
+        click.echo(
+            f"RULE {breach['rule']} BROKEN at step {breach['step']}: {breach['what']} ({breach['operation']})"
+        )
     sys.exit(1 if result.broken else 0)
 
 
@@ -267,12 +309,20 @@
 
 @lab.command("sweep")
 @click.argument("scenarios", nargs=-1, required=True, type=click.Path(dir_okay=False))
-@click.option("--sizes", default="10,100,1000", show_default=True,
-              help="limiters; servers as many, customers ten times as many, traffic in proportion")
+@click.option(
+    "--sizes",
+    default="10,100,1000",
+    show_default=True,
+    help="limiters; servers as many, customers ten times as many, traffic in proportion",
+)
 @click.option("--policies", default="module,local,central", show_default=True)
 @click.option("--spreads", default="", help="limiters in a customer's set, each tried")
-@click.option("--seconds", type=float, default=None,
-              help="in place of the scenarios'; their faults' times are scaled alike")
+@click.option(
+    "--seconds",
+    type=float,
+    default=None,
+    help="in place of the scenarios'; their faults' times are scaled alike",
+)
 def lab_sweep(scenarios, sizes, policies, spreads, seconds) -> None:
     """Play each scenario at each size, spread and policy; print a Markdown table of what they reached."""
     from lapisgrade.lab.emulator import scenario as read_scenarios
@@ -288,10 +338,13 @@
             raise ValueError(spreads)
     except ValueError:
         raise click.BadParameter(
-            "sizes and spreads are whole numbers, policies among module, local, central") from None
-    click.echo("| scenario | limiters | spread | policy | payoff share | finished | turned back | given up | "
-               "lost | over, worst units | over, share | short, share | p99 ms | counter calls | broken | "
-               "events a s | wall s | MB |")
+            "sizes and spreads are whole numbers, policies among module, local, central"
+        ) from None
+    click.echo(
+        "| scenario | limiters | spread | policy | payoff share | finished | turned back | given up | "
+        "lost | over, worst units | over, share | short, share | p99 ms | counter calls | broken | "
+        "events a s | wall s | MB |"
+    )
     click.echo("|---" * 18 + "|")
     for path in scenarios:
         for size, spread, kind in itertools.product(counts, wide, kinds):
@@ -314,11 +367,13 @@
                 ]
             r = World(played).run()
             e, q = r.ends, r.quotas
-            click.echo(f"| {r.name} | {size} | {played.spread} | {kind} | {r.payoff_share:.3f} | "
-                       f"{e['finished']} | {e['turned back']} | {e['given up']} | {e['lost']} | "
-                       f"{q['over_worst']:.1f} | {q['over_share']:.3f} | {q['short_share']:.3f} | "
-                       f"{r.latency_ms['p99']:.0f} | {r.counter_calls} | {r.broken} | "
-                       f"{r.events_per_s:,.0f} | {r.wall_s:.1f} | {r.peak_mb:.0f} |")
+            click.echo(
+                f"| {r.name} | {size} | {played.spread} | {kind} | {r.payoff_share:.3f} | "
+                f"{e['finished']} | {e['turned back']} | {e['given up']} | {e['lost']} | "
+                f"{q['over_worst']:.1f} | {q['over_share']:.3f} | {q['short_share']:.3f} | "
+                f"{r.latency_ms['p99']:.0f} | {r.counter_calls} | {r.broken} | "
+                f"{r.events_per_s:,.0f} | {r.wall_s:.1f} | {r.peak_mb:.0f} |"
+            )
 
 
 @lab.command()
@@ -326,8 +381,13 @@
 @click.option("--servers", type=click.IntRange(1, 4000), default=None, help="default: 1.3 a limiter")
 @click.option("--load", type=click.FloatRange(0.05, 1.5), default=0.6, show_default=True)
 @click.option("--slots", type=click.IntRange(1, 64), default=2, show_default=True)
-@click.option("--ill", type=click.FloatRange(0, 1), default=0.0, show_default=True,
-              help="share of servers that fail part of their requests in the middle half")
+@click.option(
+    "--ill",
+    type=click.FloatRange(0, 1),
+    default=0.0,
+    show_default=True,
+    help="share of servers that fail part of their requests in the middle half",
+)
 @click.option("--seconds", type=click.FloatRange(1, 600), default=20.0, show_default=True)
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--choosers", default="", help="names with commas between them; default: all")
@@ -340,8 +400,15 @@
     names = choosers.split(",") if choosers else list(known.CHOOSERS)
     if strange := [each for each in names if each not in known.CHOOSERS]:
         raise click.BadParameter(f"no such chooser: {strange[0]}; known: {', '.join(known.CHOOSERS)}")
-    spec = Spec(limiters, servers or round(1.3 * limiters), load=load, slots=slots, ill=ill,
-                seconds=seconds, seed=seed)
+    spec = Spec(
+        limiters,
+        servers or round(1.3 * limiters),
+        load=load,
+        slots=slots,
+        ill=ill,
+        seconds=seconds,
+        seed=seed,
+    )
     for line in table(spec, names):
         click.echo(line)
 
@@ -491,8 +558,11 @@
         except read_scenarios.ScenarioError as wrong:
             click.echo(f"the scenario: {wrong}", err=True)
             sys.exit(2)
-        folder = Path(out) if out and len(seeds) == 1 else Path(out or "fleet-runs") / (
-            f"{played.name}-{played.seed}")
+        folder = (
+            Path(out)
+            if out and len(seeds) == 1
+            else Path(out or "fleet-runs") / (f"{played.name}-{played.seed}")
+        )
         try:
             files = asyncio.run(ground.play(played, text, path, folder.resolve(), changes))
         except process.Failed as wrong:
--- a/lapisgrade/decide/fleet.py
+++ b/lapisgrade/decide/fleet.py
@@ -119,7 +119,7 @@
                 server.silent_from, server.ill.value = 0, 0.0
         # One that is gone is forgotten when nothing of it is to come (guards memory, and the parts' sizes).
         self.servers = {name: each for name, each in self.servers.items() if each.out or (
-            each.entry and each.entry.state is not Listed.GONE) or now - each.last_sent < NAME_LIFE}
+            each.entry and each.entry.state is not Listed.GONE) or now - each.last_sent < NAME_LIFE}  # fmt: skip
         self.divide()
         if not self.bound:
             self.bound = max(1.0, HOPS_LEAST * len(entries) / self.post.limiters)
@@ -136,7 +136,7 @@
         rounds = max(1, min(len(self.servers) // PART, int(self.post.limiters / LIMITERS_FEW)))
         turn, place = divmod(self.post.index, rounds)
         order = sorted(self.servers.values(), key=lambda each: blake2b(
-            f"{each.address} {turn}".encode(), digest_size=8).digest())
+            f"{each.address} {turn}".encode(), digest_size=8).digest())  # fmt: skip
         start = place * len(order) // rounds
         ready = [each for each in order[start:] + order[:start] if each.ready()]
         self.part = ready[: -(-len(order) // rounds)]
--- a/lapisgrade/decide/limiter.py
+++ b/lapisgrade/decide/limiter.py
@@ -8,7 +8,7 @@
 from lapisgrade.interface import (
     Answer, Cancel, Category, Clock, Desk, Duties, Group, Leave, Operation, Pause, Post, Repeat, Report,
     Send, Verdict, Word,
-)
+)  # fmt: skip
 from lapisgrade.sums import SECOND, Decaying
 
 PATIENCE = 3.0  # deviations above the mean that a hop may last before another is tried
@@ -22,7 +22,7 @@
     def __init__(
         self, clock: Clock, seed: int, post: Post, desk: Desk, categories: list[Category], duties: Duties,
         leave: Leave,
-    ) -> None:
+    ) -> None:  # fmt: skip
         self.clock, self.leave, self.started = clock, leave, clock.now_us
         self.counter = Counter(desk.calls)
         self.accounts: dict[str, Account] = {}
@@ -69,7 +69,7 @@
         worth = min(1.0, value * self.valued.read(now) / self.value.read(now))
         full = SHED_FROM + (1 - SHED_FROM) * worth
         return (yield from self.hold(
-            op, lambda: fleet.fullness() < full and account.slot(op.units, fleet.usual(op.category))))
+            op, lambda: fleet.fullness() < full and account.slot(op.units, fleet.usual(op.category))))  # fmt: skip
 
     def hold(self, op: Operation, ready: Callable[[], bool]) -> Generator:
         """Wait at the door until it is ready, or too late, or too many wait already."""
--- a/lapisgrade/lab/branchline/quota.py
+++ b/lapisgrade/lab/branchline/quota.py
@@ -234,10 +234,12 @@
                 rows.append(await play(case, NET + seed % NETS, folder, Random(seed)))
             wrong += [f"{case}, seed {seed}: {each}" for each in rows[-1].wrong]
         worst = max(each.worst for each in rows)
-        say(f"| {case} | {len(rows)} | {median(each.worst for each in rows):g}, {worst} "
+        say(
+            f"| {case} | {len(rows)} | {median(each.worst for each in rows):g}, {worst} "
             f"| {worst / bound:.2f} | {median(each.used for each in rows):.2f} "
             f"| {sum(each.asked for each in rows)} | {sum(each.refused for each in rows)} "
-            f"| {sum(each.failed for each in rows)} |")
+            f"| {sum(each.failed for each in rows)} |"
+        )
     for each in wrong:
         say(each)
     return not wrong
--- a/lapisgrade/lab/branchline/rejoin.py
+++ b/lapisgrade/lab/branchline/rejoin.py
@@ -368,10 +368,12 @@
         took = [each.merged for each in rows]
         calm, after = (median(getattr(each, name) * 1000 for each in rows)
                        for name in ("calm_p99", "rejoin_p99"))  # fmt: skip
-        say(f"| {case} | {len(rows)} | {min(took):.2f}, {median(took):.2f}, {max(took):.2f} "
+        say(
+            f"| {case} | {len(rows)} | {min(took):.2f}, {median(took):.2f}, {max(took):.2f} "
             f"| {sum(each.claims for each in rows)} | {sum(each.promised for each in rows)} "
             f"| {sum(each.unclear for each in rows)} | {calm:.0f}, {after:.0f} "
-            f"| {sum(each.urgent_failed for each in rows)} | {sum(len(each.wrong) for each in rows)} |")
+            f"| {sum(each.urgent_failed for each in rows)} | {sum(len(each.wrong) for each in rows)} |"
+        )
     for each in wrong:
         say(each)
     return not wrong
--- a/lapisgrade/lab/fleet/checker.py
+++ b/lapisgrade/lab/fleet/checker.py
@@ -118,8 +118,14 @@
         self._plan_of: dict[str, str] = {}
         self._open_faults: dict[tuple[str, str], FaultSeen] = {}
         self._see = {
-            h.Begin: self._begin, h.Sent: self._sent, h.Answered: self._answered, h.Came: self._came,
-            h.Fact: self._fact, h.Told: self._tell, h.Fault: self._fault, h.Life: self._life,
+            h.Begin: self._begin,
+            h.Sent: self._sent,
+            h.Answered: self._answered,
+            h.Came: self._came,
+            h.Fact: self._fact,
+            h.Told: self._tell,
+            h.Fault: self._fault,
+            h.Life: self._life,
             h.End: self._end,
             h.Counted: lambda event: self._call("counter", event.at),
             h.Asked: lambda event: self._call("discovery", event.at),
@@ -269,8 +275,12 @@
         if category.repeat is Repeat.UNREPEATABLE:
             self._breach(2, f"ran at {first.server} and again at {event.server}", event.op, event.at)
         elif category.group is Group.ALL and event.at > first.at + category.remembered_us + self._leeway_us:
-            self._breach(2, f"ran at {first.server}, and again at {event.server} when its key was forgotten",
-                         event.op, event.at)
+            self._breach(
+                2,
+                f"ran at {first.server}, and again at {event.server} when its key was forgotten",
+                event.op,
+                event.at,
+            )
 
     def _late(self, each: Try, event: h.Came) -> None:
         """Rule 3."""
@@ -281,8 +291,13 @@
         if life.paused or life.resumed > told.at:
             return  # it was stopped in between: it read the list when it went on
         if event.at > told.at + self._grace_us + self._leeway_us:
-            self._breach(3, f"sent to {event.server} {event.at - told.at} us after limiter "
-                            f"{each.sent.limiter} was told that it is {told.state}", event.op, event.at)
+            self._breach(
+                3,
+                f"sent to {event.server} {event.at - told.at} us after limiter "
+                f"{each.sent.limiter} was told that it is {told.state}",
+                event.op,
+                event.at,
+            )
 
     def _ceiling(self, sent: h.Sent, at: int) -> None:
         """Rule 5: the first hop of each try takes its units."""
@@ -296,8 +311,9 @@
             full = plan.ceiling_burst + room
             store = self._ceilings[sent.customer] = quota.Store(plan.ceiling_rate, full, full, self._begun)
         if not store.take(sent.units, at):
-            self._breach(5, f"the ceiling of customer {sent.customer} was passed by more than its slack",
-                         sent.op, at)
+            self._breach(
+                5, f"the ceiling of customer {sent.customer} was passed by more than its slack", sent.op, at
+            )
             store.level -= sent.units
 
     def _fact(self, event: h.Fact) -> None:
--- a/lapisgrade/lab/fleet/counts.py
+++ b/lapisgrade/lab/fleet/counts.py
@@ -80,8 +80,10 @@
         values = {limiter: counts[name] for limiter, counts in fleet.limiters.items()}
         busiest = max(values, key=values.get)
         total = sum(values.values())
-        said.append(f"{name:40} {total:>10} {total / len(values):>10.1f} {min(values.values()):>8} "
-                    f"{values[busiest]:>8}  {busiest}")
+        said.append(
+            f"{name:40} {total:>10} {total / len(values):>10.1f} {min(values.values()):>8} "
+            f"{values[busiest]:>8}  {busiest}"
+        )
     for text, times in fleet.said.most_common(most):
         said.append(f"{times:>8} x {text}")
     if fleet.strange:
--- a/lapisgrade/lab/fleet/ground.py
+++ b/lapisgrade/lab/fleet/ground.py
@@ -47,33 +47,57 @@
 def settings(sc: Scenario, index: int) -> dict[str, Any]:
     """A limiter's settings as the operators name them, as the scenario has them."""
     return {
-        "SelfIndex": index, "NInstances": sc.limiters, "Zone": sc.zone_of(index),
+        "SelfIndex": index,
+        "NInstances": sc.limiters,
+        "Zone": sc.zone_of(index),
         "Zones": [f"z{i}" for i in range(sc.zones)],
         "RequestClasses": [
-            {"Name": each.name, "Idempotency": REPEATS[each.repeat], "Aim": each.quoted_us / 1000,
-             "Deadline": each.hard_stop_us / 1000, "Worth": each.payoff, "LateWorth": each.late_payoff,
-             "Group": GROUPS[each.group], "KeyTtl": each.remembered_us / 1000}
+            {
+                "Name": each.name,
+                "Idempotency": REPEATS[each.repeat],
+                "Aim": each.quoted_us / 1000,
+                "Deadline": each.hard_stop_us / 1000,
+                "Worth": each.payoff,
+                "LateWorth": each.late_payoff,
+                "Group": GROUPS[each.group],
+                "KeyTtl": each.remembered_us / 1000,
+            }
             for each in sc.categories
         ],
         "TiersOfService": [
-            {"Name": each.name, "UnitsPerS": each.rate, "Burst": each.burst,
-             "BeyondEarns": each.beyond_earns, "ExcessCost": each.beyond_costs,
-             "NeverOverRate": each.ceiling_rate, "CeilingBurst": each.ceiling_burst,
-             "CapSlack": each.ceiling_slack}
+            {
+                "Name": each.name,
+                "UnitsPerS": each.rate,
+                "Burst": each.burst,
+                "BeyondEarns": each.beyond_earns,
+                "ExcessCost": each.beyond_costs,
+                "NeverOverRate": each.ceiling_rate,
+                "CeilingBurst": each.ceiling_burst,
+                "CapSlack": each.ceiling_slack,
+            }
             for each in sc.plans
         ],
         "Ceilings": {
-            "AttemptsCap": sc.leave.hops, "Cancel": sc.leave.cancel, "ParallelTries": sc.leave.second_copies,
-            "RetryAfter": sc.leave.longest_advice_us > 0, "MaxRetryAfter": sc.leave.longest_advice_us / 1000,
-            "DialTimeout": 200.0, "Keepalive": 30000.0,
+            "AttemptsCap": sc.leave.hops,
+            "Cancel": sc.leave.cancel,
+            "ParallelTries": sc.leave.second_copies,
+            "RetryAfter": sc.leave.longest_advice_us > 0,
+            "MaxRetryAfter": sc.leave.longest_advice_us / 1000,
+            "DialTimeout": 200.0,
+            "Keepalive": 30000.0,
         },
         "Rules": {
-            "DrainGrace": sc.duties.drain_grace_us / 1000, "Cold": sc.duties.cold_us / 1000,
-            "ColdFrom": sc.duties.cold_from, "Fall": sc.duties.fall_us / 1000,
+            "DrainGrace": sc.duties.drain_grace_us / 1000,
+            "Cold": sc.duties.cold_us / 1000,
+            "ColdFrom": sc.duties.cold_from,
+            "Fall": sc.duties.fall_us / 1000,
             "FallMultiple": sc.duties.fall_multiple,
         },
-        "Specifics": {"SharedCounter": sc.calls, "CountLimit": sc.count_limit_us / 1000,
-                      "UnitsTop": sc.most_units},
+        "Specifics": {
+            "SharedCounter": sc.calls,
+            "CountLimit": sc.count_limit_us / 1000,
+            "UnitsTop": sc.most_units,
+        },
     }
 
 
@@ -92,8 +116,15 @@
             with contextlib.suppress(ValueError):
                 added = said.startswith(b"$")
                 total = float(said.split(b"\r\n")[1]) if added else 0.0
-                self.writer.put(h.Counted(at=h.now_us(), name=words[1].decode("latin-1"),
-                                          amount=float(words[2]), total=total, added=added))
+                self.writer.put(
+                    h.Counted(
+                        at=h.now_us(),
+                        name=words[1].decode("latin-1"),
+                        amount=float(words[2]),
+                        total=total,
+                        added=added,
+                    )
+                )
         return said
 
 
@@ -156,17 +187,24 @@
         offset = sc.clock_offset_ms * (2 * self.index / max(1, sc.limiters - 1) - 1) if sc.limiters > 1 else 0
         discovery = self.links["discovery"][0][0].address if self.links["discovery"] else self.agent.address
         told = {
-            "name": f"lg-{self.index}", "listen": f"127.0.0.1:{self.port}", "discovery": discovery,
-            "counter": self.counter_at, "seed": f"{(sc.seed * 1_000_003 + self.index) % (1 << 64):016x}",
-            "limits": {"cores": 1.0, "memory_mb": 256, "sockets": 1024}, "known": self.agent.whole(),
-            "settings": settings(sc, self.index), "state": str(self.state),
+            "name": f"lg-{self.index}",
+            "listen": f"127.0.0.1:{self.port}",
+            "discovery": discovery,
+            "counter": self.counter_at,
+            "seed": f"{(sc.seed * 1_000_003 + self.index) % (1 << 64):016x}",
+            "limits": {"cores": 1.0, "memory_mb": 256, "sockets": 1024},
+            "known": self.agent.whole(),
+            "settings": settings(sc, self.index),
+            "state": str(self.state),
             "clock": {"offset_ms": offset},
         }
         self.config.write_text(json.dumps(told, indent=1))
         if sc.peers:
             seeds = [each.reached_at for each in self.ground.limiters[:SEEDS]]
-            self.site.write_text(f'[peers]\nlisten = "127.0.0.1:{self.peer_port}"\n'
-                                 f'reached_at = "{self.reached_at}"\nseeds = {json.dumps(seeds)}\n')
+            self.site.write_text(
+                f'[peers]\nlisten = "127.0.0.1:{self.peer_port}"\n'
+                f'reached_at = "{self.reached_at}"\nseeds = {json.dumps(seeds)}\n'
+            )
 
     async def start(self) -> None:
         """A new process, and wait until it serves; Failed where it ends or is too slow."""
@@ -229,17 +267,30 @@
                 await self._open()
                 await self.supervisor.start(self.clients)
                 targets = [f"127.0.0.1:{each.port}" for each in self.limiters]
-                await self.clients.ask(do="open", history=str(self.files[2]), scenario=text, path=path,
-                                       changes=changes, targets=targets)
+                await self.clients.ask(
+                    do="open",
+                    history=str(self.files[2]),
+                    scenario=text,
+                    path=path,
+                    changes=changes,
+                    targets=targets,
+                )
                 await asyncio.sleep(SETTLE_S)
                 leeway = max((held_us(sc, each) for each in sc.faults), default=0)
                 start_us = h.now_us()
                 self._begun = start_us / h.SECOND
-                self.writer.put(h.Begin(
-                    at=start_us, name=sc.name, seed=sc.seed, limiters=sc.limiters,
-                    seconds=sc.seconds_us / h.SECOND, settings=settings(sc, 0), over_bound=sc.over_bound,
-                    leeway_us=leeway,
-                ))
+                self.writer.put(
+                    h.Begin(
+                        at=start_us,
+                        name=sc.name,
+                        seed=sc.seed,
+                        limiters=sc.limiters,
+                        seconds=sc.seconds_us / h.SECOND,
+                        settings=settings(sc, 0),
+                        over_bound=sc.over_bound,
+                        leeway_us=leeway,
+                    )
+                )
                 self._playing = asyncio.create_task(self._faults())
                 longest_us = max(each.hard_stop_us for each in sc.categories)
                 within_s = (sc.seconds_us + 6 * longest_us) / h.SECOND + 30.0
@@ -269,10 +320,18 @@
         await self.supervisor.start(self.servers)
         knobs = sc.server
         opened = await self.servers.ask(
-            do="open", history=str(self.files[1]), count=sc.servers, seed=sc.seed,
-            knobs={"capacity": knobs.capacity, "queue": knobs.queue, "median_s": knobs.median_us / h.SECOND,
-                   "sigma": knobs.sigma, "cold_from": knobs.cold_from,
-                   "warm_s": knobs.warm_us / h.SECOND},
+            do="open",
+            history=str(self.files[1]),
+            count=sc.servers,
+            seed=sc.seed,
+            knobs={
+                "capacity": knobs.capacity,
+                "queue": knobs.queue,
+                "median_s": knobs.median_us / h.SECOND,
+                "sigma": knobs.sigma,
+                "cold_from": knobs.cold_from,
+                "warm_s": knobs.warm_us / h.SECOND,
+            },
         )
         self.addresses = opened["addresses"]
         led = self._led()
@@ -420,7 +479,8 @@
             await proc.kill()
             if kind.startswith("disk_"):
                 {"lost": process.lose, "truncated": process.truncate, "flipped": process.flip}[kind[5:]](
-                    limiter.state)
+                    limiter.state
+                )
             if await self._for(fault) or kind == "limiter_restart":
                 await limiter.start()
 
@@ -486,8 +546,11 @@
     def _links(self, fault: Fault) -> list[TcpRelay]:
         """The relays of the links that the fault concerns."""
         if fault.kind != "partition":
-            kinds = ["counter"] if fault.kind == "counter_cut" else (
-                [fault.link] if fault.link else list(scenarios.LINKS))
+            kinds = (
+                ["counter"]
+                if fault.kind == "counter_cut"
+                else ([fault.link] if fault.link else list(scenarios.LINKS))
+            )
             members = [self.limiters[i] for i in self._members(fault)]
             return [relay for each in members for kind in kinds for relay, _ in each.links[kind]]
         party = self.sc.parties[fault.target[6:]]
@@ -511,8 +574,12 @@
             return
         inside = set(self._members(fault))
         for each in self.limiters:
-            away = {other.peer_port for other in self.limiters if other is not each and (
-                (other.index in inside) != (each.index in inside) if apart else other.index in inside)}
+            away = {
+                other.peer_port
+                for other in self.limiters
+                if other is not each
+                and ((other.index in inside) != (each.index in inside) if apart else other.index in inside)
+            }
             for relay, _ in each.links["peer"]:
                 relay.deaf = relay.deaf | away if on else relay.deaf - away
 
@@ -584,7 +651,11 @@
 
 
 async def play(
-    sc: Scenario, text: str, path: str, folder: Path, changes: dict[str, Any] | None = None,
+    sc: Scenario,
+    text: str,
+    path: str,
+    folder: Path,
+    changes: dict[str, Any] | None = None,
     command: tuple[str, ...] = LIMITER,
 ) -> list[Path]:
     """Play it; the history's files. Failed where a part of the ground did not start or ended by itself."""
--- a/lapisgrade/lab/fleet/load.py
+++ b/lapisgrade/lab/fleet/load.py
@@ -52,8 +52,12 @@
         customer = customers.pick(chance)
         category = chance.choices(sc.categories, sc.category_shares)[0]
         planned = Planned(
-            round(at), int(customer.name, 16), customer.plan.name, category.name,
-            chance.randint(1, sc.most_units), category.hard_stop_us,
+            round(at),
+            int(customer.name, 16),
+            customer.plan.name,
+            category.name,
+            chance.randint(1, sc.most_units),
+            category.hard_stop_us,
         )
         made.append(Due(planned, category, customer.first))
 
@@ -61,9 +65,7 @@
 class Clients(client.Client):
     """The load tool, with customers that keep to their sets and a history of every try."""
 
-    def __init__(
-        self, targets: list[tuple[str, int]], sc: scenarios.Scenario, writer: h.Writer
-    ) -> None:
+    def __init__(self, targets: list[tuple[str, int]], sc: scenarios.Scenario, writer: h.Writer) -> None:
         super().__init__(targets, sc.seed)
         self.sc, self.writer = sc, writer
         self.spread = min(sc.spread, sc.limiters)
@@ -97,8 +99,16 @@
             which, planned = self.which(due.first), due.planned
             ends_us = due_us + planned.timeout_us
             sent = h.Sent(
-                at=h.now_us(), op=number, origin=origin, due=due_us, customer=f"{planned.customer:016x}",
-                plan=planned.plan, category=category.name, units=planned.units, limiter=which, ends=ends_us,
+                at=h.now_us(),
+                op=number,
+                origin=origin,
+                due=due_us,
+                customer=f"{planned.customer:016x}",
+                plan=planned.plan,
+                category=category.name,
+                units=planned.units,
+                limiter=which,
+                ends=ends_us,
             )
             self.writer.put(sent)
             left = replace(planned, timeout_us=max(1000, ends_us - sent.at))
--- a/lapisgrade/lab/fleet/process.py
+++ b/lapisgrade/lab/fleet/process.py
@@ -44,8 +44,13 @@
     ended."""
 
     def __init__(
-        self, name: str, args: list[str], log: Path, env: dict[str, str] | None = None,
-        cwd: Path | None = None, piped: bool = False,
+        self,
+        name: str,
+        args: list[str],
+        log: Path,
+        env: dict[str, str] | None = None,
+        cwd: Path | None = None,
+        piped: bool = False,
     ) -> None:
         self.name, self.args, self.log, self.cwd = name, args, log, cwd
         # The program that plays is the program that is played, installed or not.
@@ -67,8 +72,14 @@
     async def start(self) -> "Process":
         pipe = asyncio.subprocess.PIPE if self._piped else asyncio.subprocess.DEVNULL
         self.child = await asyncio.create_subprocess_exec(
-            *self.args, env=self.env, cwd=self.cwd, stdin=pipe, stdout=pipe, stderr=asyncio.subprocess.PIPE,
-            preexec_fn=before_exec, limit=MOST_LINE,
+            *self.args,
+            env=self.env,
+            cwd=self.cwd,
+            stdin=pipe,
+            stdout=pipe,
+            stderr=asyncio.subprocess.PIPE,
+            preexec_fn=before_exec,
+            limit=MOST_LINE,
         )
         self.paused = False
         self._reading = asyncio.create_task(self._keep(self.child.stderr))
--- a/lapisgrade/lab/fleet/report.py
+++ b/lapisgrade/lab/fleet/report.py
@@ -12,8 +12,18 @@
 
 SECOND = 1_000_000
 COLUMNS = (
-    "finished", "turned back", "given up", "broken", "none", "over, worst", "over, mean", "short, share",
-    "back in s", "stampede", "stale s", "rules broken",
+    "finished",
+    "turned back",
+    "given up",
+    "broken",
+    "none",
+    "over, worst",
+    "over, mean",
+    "short, share",
+    "back in s",
+    "stampede",
+    "stale s",
+    "rules broken",
 )
 DPI = 110
 
@@ -113,8 +123,13 @@
     for axis, title in ((axes[0], "finished a second"), (axes[1], "calls a second")):
         for fault in found.faults:
             axis.axvspan(fault.began_s, max(fault.ended_s, fault.began_s + 0.05), color="grey", alpha=0.25)
-            axis.annotate(f"{fault.what} {fault.target}", (fault.began_s, axis.get_ylim()[1]), fontsize=7,
-                          rotation=90, va="top")
+            axis.annotate(
+                f"{fault.what} {fault.target}",
+                (fault.began_s, axis.get_ylim()[1]),
+                fontsize=7,
+                rotation=90,
+                va="top",
+            )
         axis.set_title(title, fontsize=10)
         axis.set_xlabel("s")
         axis.legend(fontsize=7, loc="lower right")
--- a/lapisgrade/lab/load/client.py
+++ b/lapisgrade/lab/load/client.py
@@ -87,8 +87,11 @@
         """Status and headers of the answer; Broken where the connection failed first."""
         conn, heard = self.conn, False
         try:
-            self.writer.write(conn.send(request) + (conn.send(h11.Data(data=body)) if body else b"")
-                              + conn.send(h11.EndOfMessage()))
+            self.writer.write(
+                conn.send(request)
+                + (conn.send(h11.Data(data=body)) if body else b"")
+                + conn.send(h11.EndOfMessage())
+            )
             response, size = None, 0
             while True:
                 event = conn.next_event()
@@ -272,8 +275,11 @@
     """The request of one try, and its body. `number` is its id, `key` its mark against repeats, where it has
     one; its customer is known to `spread` limiters from number `first` on."""
     headers = [
-        ("Host", "api.internal"), ("X-Request-ID", number), ("X-Priority-Class", planned.category),
-        ("X-Plan", planned.plan), ("X-Customer", f"{planned.customer:016x}"),
+        ("Host", "api.internal"),
+        ("X-Request-ID", number),
+        ("X-Priority-Class", planned.category),
+        ("X-Plan", planned.plan),
+        ("X-Customer", f"{planned.customer:016x}"),
         ("X-Timeout", f"{planned.timeout_us / SECOND:.3f}"),
         ("X-Quota", f"units={planned.units},spread={spread},first={first}"),
     ]
--- a/lapisgrade/lab/load/schedule.py
+++ b/lapisgrade/lab/load/schedule.py
@@ -127,8 +127,11 @@
         category = chance.choices(names, weights)[0]
         customer, plan_name = mix.customers[chance.randrange(len(mix.customers))]
         timeout = timeouts.get(category, 1.0) * (0.5 if chance.random() < mix.hasty else 1.0)
-        made.append(Planned(due, customer, plan_name, category, chance.randint(1, mix.most_units),
-                            round(timeout * SECOND)))
+        made.append(
+            Planned(
+                due, customer, plan_name, category, chance.randint(1, mix.most_units), round(timeout * SECOND)
+            )
+        )
     return made
 
 
@@ -141,12 +144,19 @@
             customer, category = int(row["customer"]), str(row["category"])
             timeout_s = float(row.get("timeout_s") or timeouts.get(category, 1.0))
             plan_name = str(row.get("plan") or plans.get(customer, "basic"))
-            made.append(Planned(round(float(row["t_s"]) * SECOND), customer, plan_name, category,
-                                int(row.get("units", 1)), round(timeout_s * SECOND)))
+            made.append(
+                Planned(
+                    round(float(row["t_s"]) * SECOND),
+                    customer,
+                    plan_name,
+                    category,
+                    int(row.get("units", 1)),
+                    round(timeout_s * SECOND),
+                )
+            )
         except (KeyError, TypeError, ValueError) as wrong:
             raise BadShape(f"trace row {number}: {wrong!r}") from None
         if made[-1].due_us < 0 or made[-1].units < 1 or made[-1].timeout_us <= 0 or not 0 <= customer < 2**33:
             raise BadShape(f"trace row {number}: a time, customer, units or timeout out of range")
     made.sort(key=lambda each: each.due_us)
     return made
-
--- a/lapisgrade/lab/quota.py
+++ b/lapisgrade/lab/quota.py
@@ -41,7 +41,16 @@
     """One customer's use of its quota."""
 
     __slots__ = (
-        "_asked", "_debt", "_debt_us", "_held", "admitted", "burst", "inside", "over", "owing", "rate",
+        "_asked",
+        "_debt",
+        "_debt_us",
+        "_held",
+        "admitted",
+        "burst",
+        "inside",
+        "over",
+        "owing",
+        "rate",
     )
 
     def __init__(self, rate: float, burst: float, now_us: int) -> None:
--- a/lapisgrade/lab/report/plots.py
+++ b/lapisgrade/lab/report/plots.py
@@ -18,8 +18,17 @@
 
 SERIES = ("arrived", "finished", "turned back", "given up", "lost", "front")
 FIGURES = (
-    "payoff_share", "finished share", "p50 ms", "p99 ms", "p99.9 ms", "overshoot p50", "overshoot p99",
-    "overshoot max", "counter calls a s", "spread over limiters", "breaches",
+    "payoff_share",
+    "finished share",
+    "p50 ms",
+    "p99 ms",
+    "p99.9 ms",
+    "overshoot p50",
+    "overshoot p99",
+    "overshoot max",
+    "counter calls a s",
+    "spread over limiters",
+    "breaches",
 )
 DPI = 110
 
@@ -72,8 +81,14 @@
                 axis.plot(range(1, len(values) + 1), values, label=name)
         for at_s, kind, target in run.get("faults", []):
             axis.axvline(at_s / 1e6, color="grey", linestyle=":", linewidth=1)
-            axis.annotate(f"{kind} {target}", (at_s / 1e6, axis.get_ylim()[1]), fontsize=7, rotation=90,
-                          va="top", color="grey")
+            axis.annotate(
+                f"{kind} {target}",
+                (at_s / 1e6, axis.get_ylim()[1]),
+                fontsize=7,
+                rotation=90,
+                va="top",
+                color="grey",
+            )
         axis.set_title(label(run), fontsize=10)
         axis.set_xlabel("s")
         axis.set_ylabel("operations a second")
@@ -84,8 +99,12 @@
         width = 0.8 / len(runs)
         for i, run in enumerate(runs):
             values = figures(run)
-            axis.bar([k + i * width for k in range(len(shown))], [values[name] for name in shown], width,
-                     label=label(run))
+            axis.bar(
+                [k + i * width for k in range(len(shown))],
+                [values[name] for name in shown],
+                width,
+                label=label(run),
+            )
         axis.set_xticks([k + 0.4 - width / 2 for k in range(len(shown))], shown)
         axis.legend(fontsize=7)
         axis.set_title("side by side", fontsize=10)
@@ -102,12 +121,17 @@
     rows = []
     for run in runs:
         values = figures(run)
-        cells = "".join(f"<td>{values[name]:.3f}</td>" if isinstance(values[name], float)
-                        else f"<td>{values[name]}</td>" for name in FIGURES)
+        cells = "".join(
+            f"<td>{values[name]:.3f}</td>" if isinstance(values[name], float) else f"<td>{values[name]}</td>"
+            for name in FIGURES
+        )
         rows.append(f"<tr><th>{html.escape(label(run))}</th>{cells}</tr>")
-    breaches = [f"<li>{html.escape(run['name'])}: rule {b['rule']}, {html.escape(b['what'])}, "
-                f"operation {html.escape(b['operation'])}, step {b['step']}</li>"
-                for run in runs for b in run["breaches"][:20]]
+    breaches = [
+        f"<li>{html.escape(run['name'])}: rule {b['rule']}, {html.escape(b['what'])}, "
+        f"operation {html.escape(b['operation'])}, step {b['step']}</li>"
+        for run in runs
+        for b in run["breaches"][:20]
+    ]
     picture = base64.b64encode(png).decode()
     return (
         "<!doctype html><meta charset='utf-8'><title>lapisgrade lab report</title>"
--- a/lapisgrade/members/core.py
+++ b/lapisgrade/members/core.py
@@ -143,7 +143,12 @@
     read."""
 
     def __init__(
-        self, name: str, address: str, incarnation: int, now_us: int, random: Random,
+        self,
+        name: str,
+        address: str,
+        incarnation: int,
+        now_us: int,
+        random: Random,
         pace: Pace | None = None,
     ) -> None:
         """`incarnation` must be higher than in any earlier life of the name, as a start time in ms is."""
@@ -233,8 +238,11 @@
         if probe is not None and probe.asks_at_us and self.now >= probe.asks_at_us:
             probe.asks_at_us = 0
             target = self.members.get(probe.target)
-            others = [each for each in self.members.values()
-                      if each.state is State.ALIVE and each.name != probe.target]
+            others = [
+                each
+                for each in self.members.values()
+                if each.state is State.ALIVE and each.name != probe.target
+            ]
             if target is not None:
                 for other in self.random.sample(others, min(self.pace.others, len(others))):
                     probe.asked += 1
@@ -257,7 +265,9 @@
             if target is not None and self._probe is None:
                 self._number = (self._number + 1) % (1 << 31)
                 self._probe = Probe(
-                    target.name, self._number, self.now + self._slowed(self.pace.answer_us),
+                    target.name,
+                    self._number,
+                    self.now + self._slowed(self.pace.answer_us),
                     self.now + self._slowed(self.pace.period_us),
                 )
                 out.append(self._send(target.address, Ping(self._number, target.name)))
@@ -420,5 +430,3 @@
     least = pace.suspicion * max(1.0, math.log10(members)) * pace.period_us
     spreads = math.ceil(math.log(members) / math.log(2 - lost)) * period + pace.period_us
     return {"suspected": suspected, "known": suspected + pace.slowest * least + spreads}
-
-
--- a/lapisgrade/members/host.py
+++ b/lapisgrade/members/host.py
@@ -21,8 +21,12 @@
     end."""
 
     def __init__(
-        self, name: str, say: Callable[[str], None], changed: Callable[[News], None] = lambda news: None,
-        seed: int = 0, pace: Pace | None = None,
+        self,
+        name: str,
+        say: Callable[[str], None],
+        changed: Callable[[News], None] = lambda news: None,
+        seed: int = 0,
+        pace: Pace | None = None,
     ) -> None:
         self.name, self._changed, self._pace = name, changed, pace
         self._random = Random(seed)
--- a/lapisgrade/members/sim.py
+++ b/lapisgrade/members/sim.py
@@ -136,10 +136,14 @@
 
     def agree(self, names: set[str], among: list[str] | None = None) -> bool:
         """Whether every live member (of `among`) holds just these to live."""
-        return all(set(each.core.alive()) == names for each in self.live()
-                   if among is None or each.name in among)
+        return all(
+            set(each.core.alive()) == names for each in self.live() if among is None or each.name in among
+        )
 
     def held_dead(self, name: str) -> list[str]:
         """Who holds this member dead."""
-        return [each.name for each in self.live() if each.name != name
-                and name in each.core.members and each.core.members[name].state is State.DEAD]
+        return [
+            each.name
+            for each in self.live()
+            if each.name != name and name in each.core.members and each.core.members[name].state is State.DEAD
+        ]
--- a/lapisgrade/net/counter.py
+++ b/lapisgrade/net/counter.py
@@ -38,7 +38,15 @@
     """One connection to the counter: the calls that wait for it to come up, and those written on it."""
 
     __slots__ = (
-        "_address", "_buffer", "_desk", "_heard", "_reader", "_task", "_writer", "out", "waiting",
+        "_address",
+        "_buffer",
+        "_desk",
+        "_heard",
+        "_reader",
+        "_task",
+        "_writer",
+        "out",
+        "waiting",
     )
 
     def __init__(self, desk: "Counter", address: tuple[str, int]) -> None:
@@ -142,8 +150,13 @@
     """The counter service; answers come in the order of the calls, late ones too."""
 
     def __init__(
-        self, put: Callable[[Event], None], say: Callable[[str], None], counts: Counts[str],
-        address: tuple[str, int], time_out_us: int, dial_us: int,
+        self,
+        put: Callable[[Event], None],
+        say: Callable[[str], None],
+        counts: Counts[str],
+        address: tuple[str, int],
+        time_out_us: int,
+        dial_us: int,
     ) -> None:
         self._put, self.say, self.counts, self._address = put, say, counts, address
         self._patience, self.dial = time_out_us / SECOND, dial_us / SECOND
--- a/lapisgrade/net/discovery.py
+++ b/lapisgrade/net/discovery.py
@@ -58,8 +58,14 @@
     """The agent on this machine, its list, and the way to put it before the decisions."""
 
     def __init__(
-        self, put: Callable[[Event], None], say: Callable[[str], None], counts: Counter[str],
-        address: tuple[str, int], pool: Pool, random: Random, limiters: int,
+        self,
+        put: Callable[[Event], None],
+        say: Callable[[str], None],
+        counts: Counter[str],
+        address: tuple[str, int],
+        pool: Pool,
+        random: Random,
+        limiters: int,
     ) -> None:
         self._put, self._say, self._counts, self._pool = put, say, counts, pool
         self._address, self._turns = address, Turns(random, limiters)
--- a/lapisgrade/net/front.py
+++ b/lapisgrade/net/front.py
@@ -20,9 +20,7 @@
 # What the protocol's fields may look like. Whatever else comes in one is nobody's request.
 _CUSTOMER = re.compile(rb"0{7}[01][0-9a-fA-F]{8}")  # 16 hex digits of a number below 2 ** 33
 _ID = re.compile(rb"[!-~]{1,128}")
-_QUOTA = re.compile(
-    rb" *units=(\d{1,9}(?:\.\d{1,6})?) *, *spread=(\d{1,9}) *, *first=(\d{1,9}) *"
-)
+_QUOTA = re.compile(rb" *units=(\d{1,9}(?:\.\d{1,6})?) *, *spread=(\d{1,9}) *, *first=(\d{1,9}) *")
 _TIMEOUT = re.compile(rb"\d{1,6}(?:\.\d{1,9})?")
 _METHODS = {Repeat.IDEMPOTENT: b"GET", Repeat.DEDUPLICATED: b"POST", Repeat.UNREPEATABLE: b"POST"}
 # The protocol's figures: a connection with no open request may be closed after 2 s, and one that brings no
@@ -41,7 +39,15 @@
     """One client's connection; it carries one operation at a time."""
 
     __slots__ = (
-        "_early", "_front", "_last", "_parser", "_timer", "_writer", "ending", "operation", "unwanted",
+        "_early",
+        "_front",
+        "_last",
+        "_parser",
+        "_timer",
+        "_writer",
+        "ending",
+        "operation",
+        "unwanted",
     )
 
     def __init__(self, front: "Front", writer: asyncio.StreamWriter) -> None:
@@ -90,13 +96,23 @@
             self.close(Ending.OVERDUE)
 
     def reply(
-        self, status: int, body: list, size: int, more: bytes = b"", last: bool = False,
+        self,
+        status: int,
+        body: list,
+        size: int,
+        more: bytes = b"",
+        last: bool = False,
         ending: Ending = Ending.ANSWERED,
     ) -> None:
         last = last or self._front.closing
         close = b"Connection: close\r\n" if last else b""
         head = b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n%b%b\r\n" % (
-            status, _REASONS.get(status, b""), size, more, close)
+            status,
+            _REASONS.get(status, b""),
+            size,
+            more,
+            close,
+        )
         self._writer.writelines([head, *body])
         self._front.counts[f"answered {status}"] += 1
         if self._writer.transport.get_write_buffer_size() > MOST_UNREAD:
@@ -179,8 +195,15 @@
     most_body, ask, rest = MOST_BODY, ASK, REST
 
     def __init__(
-        self, put: Callable[[Event], None], now: Callable[[], int], say: Callable[[str], None],
-        counts: Counter[str], categories: list[Category], plans: list[Plan], most: int, limiters: int,
+        self,
+        put: Callable[[Event], None],
+        now: Callable[[], int],
+        say: Callable[[str], None],
+        counts: Counter[str],
+        categories: list[Category],
+        plans: list[Plan],
+        most: int,
+        limiters: int,
         most_units: float,
     ) -> None:
         self.put, self._now, self.say, self.counts, self._most = put, now, say, counts, most
--- a/lapisgrade/net/hops.py
+++ b/lapisgrade/net/hops.py
@@ -12,7 +12,16 @@
 from lapisgrade.net.ending import Ending
 from lapisgrade.net.events import Asked, Event, Landed
 from lapisgrade.net.http import (
-    CHUNK, MOST_BODY, Garbled, Message, Parser, Reader, connect, late, stale, steady,
+    CHUNK,
+    MOST_BODY,
+    Garbled,
+    Message,
+    Parser,
+    Reader,
+    connect,
+    late,
+    stale,
+    steady,
 )
 
 
@@ -23,8 +32,20 @@
     """One connection to one server, with one hop on it at most."""
 
     __slots__ = (
-        "_address", "_parser", "_pool", "_reader", "_task", "_timer", "_unwritten", "_writer", "closed",
-        "hop", "idle_from", "idle_us", "server", "strayed",
+        "_address",
+        "_parser",
+        "_pool",
+        "_reader",
+        "_task",
+        "_timer",
+        "_unwritten",
+        "_writer",
+        "closed",
+        "hop",
+        "idle_from",
+        "idle_us",
+        "server",
+        "strayed",
     )
 
     def __init__(self, pool: "Pool", server: str, hop: Any) -> None:
@@ -120,8 +141,13 @@
             ending = dialect.told(hop, message)
             self.idle_us = dialect.idle_us(message) or self._pool.lines.idle_us
             self._pool.landed(hop, ending, message)
-            if message.last or message.rest or self._unwritten or not self._current() or (
-                    self.strayed or ending is Ending.GARBLED):
+            if (
+                message.last
+                or message.rest
+                or self._unwritten
+                or not self._current()
+                or (self.strayed or ending is Ending.GARBLED)
+            ):
                 self.end(Ending.IDLE)
             else:
                 self._pool.keep(self)
@@ -151,8 +177,13 @@
     """All connections to servers."""
 
     def __init__(
-        self, put: Callable[[Event], None], now: Callable[[], int], say: Callable[[str], None],
-        counts: Counter[str], lines: Lines, most: int,
+        self,
+        put: Callable[[Event], None],
+        now: Callable[[], int],
+        say: Callable[[str], None],
+        counts: Counter[str],
+        lines: Lines,
+        most: int,
         dialect: "Dialect | None" = None,
     ) -> None:
         self._put, self.now, self.say, self.counts, self.lines = put, now, say, counts, lines
@@ -280,7 +311,11 @@
         asked: Asked = hop.operation.handle
         size = sum(len(each) for each in asked.body)
         return b"%b %b HTTP/1.1\r\nHost: %b\r\nX-Request-ID: %b\r\nX-Timeout: %.6f\r\n%b%b\r\n" % (
-            asked.method, asked.target, asked.host, asked.request_id, left,
+            asked.method,
+            asked.target,
+            asked.host,
+            asked.request_id,
+            left,
             b"Idempotency-Key: %b\r\n" % asked.key if asked.key is not None else b"",
             b"Content-Length: %d\r\n" % size if size or asked.method != b"GET" else b"",
         )
--- a/lapisgrade/net/host.py
+++ b/lapisgrade/net/host.py
@@ -34,7 +34,10 @@
     """Brings events to the module in the order of the queue, and carries out what it asks for."""
 
     def __init__(
-        self, build: Callable[[Clock], Any], now: Callable[[], int], say: Callable[[str], None],
+        self,
+        build: Callable[[Clock], Any],
+        now: Callable[[], int],
+        say: Callable[[str], None],
         counts: Counter[str],
     ) -> None:
         self.now, self._say, self._counts = now, say, counts
--- a/lapisgrade/net/service.py
+++ b/lapisgrade/net/service.py
@@ -52,14 +52,30 @@
         self._listen, self._known = start.address(told["listen"], "listen"), told["known"]
         self.host = Host(
             lambda clock: Limiter(
-                clock, seed, start.post(info), start.desk(info), start.categories(info), start.duties(info),
+                clock,
+                seed,
+                start.post(info),
+                start.desk(info),
+                start.categories(info),
+                start.duties(info),
                 start.leave(info),
-            ), now, say, self.counts)
+            ),
+            now,
+            say,
+            self.counts,
+        )
         put, lines = self.host.put, start.lines(info)
         # Half of the descriptors for clients, a quarter for servers; the rest is for all else.
         self._front = front.Front(
-            put, now, say, self.counts, start.categories(info), start.plans(info), sockets // 2,
-            start.post(info).limiters, start.most_units(info),
+            put,
+            now,
+            say,
+            self.counts,
+            start.categories(info),
+            start.plans(info),
+            sockets // 2,
+            start.post(info).limiters,
+            start.most_units(info),
         )
         self.host.pool = hops.Pool(put, now, say, self.counts, lines, sockets // 4)
         desk = start.desk(info)
@@ -149,6 +165,7 @@
             service.say(f"goes on as before: {wrong}")
 
     loop = asyncio.get_running_loop()
+
     def end(by: signal.Signals) -> None:
         service.say(f"told to end by {by.name}")
         service.end()
--- a/lapisgrade/peers/udp.py
+++ b/lapisgrade/peers/udp.py
@@ -31,7 +31,10 @@
     """One socket. `heard(source, frame)` gets what is sound; `send` is a plain call."""
 
     def __init__(
-        self, name: str, codec: frame.Codec, incarnation: Callable[[], int],
+        self,
+        name: str,
+        codec: frame.Codec,
+        incarnation: Callable[[], int],
         heard: Callable[[str, frame.Frame], None],
         say: Callable[[str], None],
     ) -> None:
--- a/lapisgrade/railway/telegraph.py
+++ b/lapisgrade/railway/telegraph.py
@@ -173,9 +173,7 @@
     def news(self, now_us: int, ask: talk.Ask, state: State, boxes: list[str]) -> talk.News | None:
         if ask.name and len(self.carriers) < MOST:
             held = max(ask.held, ask.ver)
-            self.carriers[ask.name] = Carrier(
-                ask.address, ask.own, ask.zone, now_us, held, ask.ver, ask.core
-            )
+            self.carriers[ask.name] = Carrier(ask.address, ask.own, ask.zone, now_us, held, ask.ver, ask.core)
         if ask.known:
             self.yard.known(now_us, ask.known)
         own = f"{self.life}+" if self._settled else self.life
--- a/lapisgrade/standins/discovery.py
+++ b/lapisgrade/standins/discovery.py
@@ -32,8 +32,13 @@
 
     def told(self) -> dict:
         return {
-            "instanceId": self.instance_id, "hostPort": self.host_port, "zone": self.zone, "cell": self.cell,
-            "lifecycle": self.lifecycle, "weight": self.weight, "startedAtMs": self.started_ms,
+            "instanceId": self.instance_id,
+            "hostPort": self.host_port,
+            "zone": self.zone,
+            "cell": self.cell,
+            "lifecycle": self.lifecycle,
+            "weight": self.weight,
+            "startedAtMs": self.started_ms,
         }
 
 
--- a/tests/counter_loss/test_counter_loss.py
+++ b/tests/counter_loss/test_counter_loss.py
@@ -58,8 +58,15 @@
 def text(
     *faults: str, seconds: float, limiters: int, customers: int = 6, spread: int = 0, seed: int = 3
 ) -> str:
-    made = BASE.format(seconds=seconds, limiters=limiters, customers=customers, spread=spread or limiters,
-                       servers=max(4, limiters // 5), rate=customers * ASKED / 1.5, seed=seed)
+    made = BASE.format(
+        seconds=seconds,
+        limiters=limiters,
+        customers=customers,
+        spread=spread or limiters,
+        servers=max(4, limiters // 5),
+        rate=customers * ASKED / 1.5,
+        seed=seed,
+    )
     return made + "".join(faults)
 
 
@@ -72,13 +79,16 @@
     made = {}
     for plan, rate, burst in (("basic", 20, 40), ("pro", 40, 80)):
         each = bound(rate, burst, limiters)
-        made[plan] = each.healthy(seconds, LOOK_S, ANSWER_S) + {
-            "lost": each.cut_off(limiters, lasts),
-            "half": each.cut_off(limiters // 2, lasts),
-            "emptied": each.emptied(2),
-            "split": each.split(2, lasts),
-            "lies": each.cut_off(limiters, lasts),
-        }[case]
+        made[plan] = (
+            each.healthy(seconds, LOOK_S, ANSWER_S)
+            + {
+                "lost": each.cut_off(limiters, lasts),
+                "half": each.cut_off(limiters // 2, lasts),
+                "emptied": each.emptied(2),
+                "split": each.split(2, lasts),
+                "lies": each.cut_off(limiters, lasts),
+            }[case]
+        )
     return made
 
 
--- a/tests/fleet/test_checker.py
+++ b/tests/fleet/test_checker.py
@@ -7,9 +7,13 @@
 from lapisgrade.lab.fleet import history as h
 
 S = 1_000_000
-SETTINGS = ground.settings(scenario.parse(
-    '[[plan]]\nname="basic"\nrate=10\nburst=20\n[[plan]]\nname="pro"\nrate=10\nburst=20\nceiling_rate=12\n'
-    'ceiling_burst=24\nceiling_slack=4\n'), 0)
+SETTINGS = ground.settings(
+    scenario.parse(
+        '[[plan]]\nname="basic"\nrate=10\nburst=20\n[[plan]]\nname="pro"\nrate=10\nburst=20\nceiling_rate=12\n'
+        "ceiling_burst=24\nceiling_slack=4\n"
+    ),
+    0,
+)
 
 
 def begin(**more):
@@ -18,8 +22,18 @@
 
 def sent(op="a", at=2.0, category="read", units=1, limiter=0, origin=None, plan="basic", customer="c"):
     at = round(at * S)
-    return h.Sent(at=at, op=op, origin=origin or op, due=at, customer=customer, plan=plan, category=category,
-                  units=units, limiter=limiter, ends=at + S)
+    return h.Sent(
+        at=at,
+        op=op,
+        origin=origin or op,
+        due=at,
+        customer=customer,
+        plan=plan,
+        category=category,
+        units=units,
+        limiter=limiter,
+        ends=at + S,
+    )
 
 
 def answered(op="a", at=2.1, how="finished"):
@@ -48,57 +62,115 @@
 
 
 def test_a_sound_history_breaks_nothing_and_counts_each_end_once():
-    got = found(sent(), came(), answered(), sent("b", 3), answered("b", 3.1, "turned back"),
-                sent("c", 4, "flash"), came("c", 4.1), answered("c", 4.2, "given up"))
+    got = found(
+        sent(),
+        came(),
+        answered(),
+        sent("b", 3),
+        answered("b", 3.1, "turned back"),
+        sent("c", 4, "flash"),
+        came("c", 4.1),
+        answered("c", 4.2, "given up"),
+    )
     assert got.ok and not got.breaches
     assert got.ends == {"finished": 1, "turned back": 1, "given up": 1, "broken": 0, "none": 0}
     assert got.share == {0: 3}
 
 
-@pytest.mark.parametrize(("rule", "events"), [
-    (1, [sent(), came()]),  # no answer at all
-    (1, [sent(), came(), answered(how="none")]),
-    (1, [sent(), came(), answered(how="broken")]),
-    (1, [sent(), came(), answered(), answered(at=2.2)]),  # two answers
-    (1, [sent(), came(), answered(), came(at=3.5, server="s1")]),  # sent after its answer
-    (1, [came("nobody's", 5.0)]),  # sent without having been taken
-    (2, [sent(category="flash"), came(), came(server="s1"), answered()]),
-    (2, [sent(category="flash"), came(), answered(how="turned back")]),
-    (2, [sent(category="flash"), came(), answered(how="turned back"),
-         sent("b", 3, "flash", origin="a"), came("b", 3.1), answered("b", 3.2)]),
-    (2, [sent(category="ticket"), came(), answered(how="broken"), life("killed", 2.01),
-         sent("b", 9, "ticket", origin="a"), came("b", 9.1), answered("b", 9.2)]),
-    (3, [told("terminating", 2), sent(at=4), came(at=4.1, ran=False), answered(at=4.2, how="given up")]),
-    (3, [told("terminating", 2), told("terminated", 4), sent(at=4), came(at=4.1), answered(at=4.2)]),
-    (5, [event for i in range(29) for event in
-         (sent(f"{i}", 2 + i / 1000, plan="pro"), came(f"{i}", 2 + i / 1000), answered(f"{i}", 2.1))]),
-])
+@pytest.mark.parametrize(
+    ("rule", "events"),
+    [
+        (1, [sent(), came()]),  # no answer at all
+        (1, [sent(), came(), answered(how="none")]),
+        (1, [sent(), came(), answered(how="broken")]),
+        (1, [sent(), came(), answered(), answered(at=2.2)]),  # two answers
+        (1, [sent(), came(), answered(), came(at=3.5, server="s1")]),  # sent after its answer
+        (1, [came("nobody's", 5.0)]),  # sent without having been taken
+        (2, [sent(category="flash"), came(), came(server="s1"), answered()]),
+        (2, [sent(category="flash"), came(), answered(how="turned back")]),
+        (
+            2,
+            [
+                sent(category="flash"),
+                came(),
+                answered(how="turned back"),
+                sent("b", 3, "flash", origin="a"),
+                came("b", 3.1),
+                answered("b", 3.2),
+            ],
+        ),
+        (
+            2,
+            [
+                sent(category="ticket"),
+                came(),
+                answered(how="broken"),
+                life("killed", 2.01),
+                sent("b", 9, "ticket", origin="a"),
+                came("b", 9.1),
+                answered("b", 9.2),
+            ],
+        ),
+        (3, [told("terminating", 2), sent(at=4), came(at=4.1, ran=False), answered(at=4.2, how="given up")]),
+        (3, [told("terminating", 2), told("terminated", 4), sent(at=4), came(at=4.1), answered(at=4.2)]),
+        (
+            5,
+            [
+                event
+                for i in range(29)
+                for event in (
+                    sent(f"{i}", 2 + i / 1000, plan="pro"),
+                    came(f"{i}", 2 + i / 1000),
+                    answered(f"{i}", 2.1),
+                )
+            ],
+        ),
+    ],
+)
 def test_each_rule_is_seen_to_be_broken(rule, events):
     broken = rules(*events)
     assert rule in broken and set(broken) <= {rule, 1, 2}
 
 
-@pytest.mark.parametrize("events", [
-    [sent(), came(), life("killed", 2.02), answered(how="broken")],  # a limiter that died owes nothing
-    [sent(), came(), life("paused", 2.02), life("resumed", 4.9), answered(at=3.6, how="none")],
-    [life("paused", 1.5), sent(), life("resumed", 4.9), answered(at=3.6, how="none"), came(at=5)],
-    [sent(category="ticket"), came(), came(server="s1"), answered()],  # servers drop its repeat
-    [sent(), came(), came(server="s1"), answered()],  # may run again
-    [sent(category="flash"), came(ran=False), came(server="s1"), answered()],  # the first was turned away
-    [sent(category="flash"), came(ran=False), answered(how="turned back")],
-    [told("terminating", 2), sent(at=2.2), came(at=2.24), answered(at=2.3)],  # within the grace
-    [told("terminating", 2), told("in_service", 3), sent(at=4), came(at=4.1), answered(at=4.2)],
-    [told("terminating", 2), life("killed", 3), life("up", 3.5), sent(at=4), came(at=4.1), answered(at=4.2)],
-    [event for i in range(28) for event in
-     (sent(f"{i}", 2 + i / 1000, plan="pro"), came(f"{i}", 2 + i / 1000), answered(f"{i}", 2.1))],
-])
+@pytest.mark.parametrize(
+    "events",
+    [
+        [sent(), came(), life("killed", 2.02), answered(how="broken")],  # a limiter that died owes nothing
+        [sent(), came(), life("paused", 2.02), life("resumed", 4.9), answered(at=3.6, how="none")],
+        [life("paused", 1.5), sent(), life("resumed", 4.9), answered(at=3.6, how="none"), came(at=5)],
+        [sent(category="ticket"), came(), came(server="s1"), answered()],  # servers drop its repeat
+        [sent(), came(), came(server="s1"), answered()],  # may run again
+        [sent(category="flash"), came(ran=False), came(server="s1"), answered()],  # the first was turned away
+        [sent(category="flash"), came(ran=False), answered(how="turned back")],
+        [told("terminating", 2), sent(at=2.2), came(at=2.24), answered(at=2.3)],  # within the grace
+        [told("terminating", 2), told("in_service", 3), sent(at=4), came(at=4.1), answered(at=4.2)],
+        [
+            told("terminating", 2),
+            life("killed", 3),
+            life("up", 3.5),
+            sent(at=4),
+            came(at=4.1),
+            answered(at=4.2),
+        ],
+        [
+            event
+            for i in range(28)
+            for event in (
+                sent(f"{i}", 2 + i / 1000, plan="pro"),
+                came(f"{i}", 2 + i / 1000),
+                answered(f"{i}", 2.1),
+            )
+        ],
+    ],
+)
 def test_what_only_looks_like_it_is_not_held_against_anyone(events):
     assert rules(*events) == []
 
 
 def test_the_worst_window_of_any_customer_is_held_to_the_stated_bound():
-    events = [event for i in range(30) for event in
-              (sent(f"{i}", 2), came(f"{i}", 2.01), answered(f"{i}", 2.1))]
+    events = [
+        event for i in range(30) for event in (sent(f"{i}", 2), came(f"{i}", 2.01), answered(f"{i}", 2.1))
+    ]
     got = found(*events)
     assert got.over["c"] == pytest.approx(10) and got.ok
     assert got.quotas["basic"]["over_worst"] == pytest.approx(10)
@@ -111,8 +183,11 @@
     while at < until:
         if but(at):
             number += 1
-            events += [sent(f"{number}", at, customer=f"{number % 7}"), came(f"{number}", at + 0.01),
-                       answered(f"{number}", at + 0.02)]
+            events += [
+                sent(f"{number}", at, customer=f"{number % 7}"),
+                came(f"{number}", at + 0.01),
+                answered(f"{number}", at + 0.02),
+            ]
         at += 0.1
     return events
 
@@ -134,9 +209,16 @@
 
 
 def test_staleness_is_how_long_after_a_server_left_a_hop_still_came():
-    got = found(h.Fact(at=2 * S, server="s0", state="terminating"), sent(at=2.4), came(at=2.5),
-                answered(at=2.6), h.Fact(at=3 * S, server="s0", state="in_service"), sent("b", 4),
-                came("b", 4.1), answered("b", 4.2))
+    got = found(
+        h.Fact(at=2 * S, server="s0", state="terminating"),
+        sent(at=2.4),
+        came(at=2.5),
+        answered(at=2.6),
+        h.Fact(at=3 * S, server="s0", state="in_service"),
+        sent("b", 4),
+        came("b", 4.1),
+        answered("b", 4.2),
+    )
     assert got.staleness_s == pytest.approx(0.5)
 
 
--- a/tests/fleet/test_member_processes.py
+++ b/tests/fleet/test_member_processes.py
@@ -34,8 +34,16 @@
     async def start(self, supervisor: Supervisor, seeds: list[str], link: Link) -> None:
         if self.relay is None:
             self.relay = await UdpRelay(("127.0.0.1", self.port), 1, link).open()
-        args = [sys.executable, "-m", "lapisgrade.members", self.name, f"127.0.0.1:{self.port}", *seeds,
-                "--at", self.relay.address]
+        args = [
+            sys.executable,
+            "-m",
+            "lapisgrade.members",
+            self.name,
+            f"127.0.0.1:{self.port}",
+            *seeds,
+            "--at",
+            self.relay.address,
+        ]
         self.holds = {}
         self.process = Process(self.name, args, self.folder / f"{self.name}.log", piped=True)
         await supervisor.start(self.process)
@@ -131,8 +139,9 @@
             lone.relay.link = Link(cut=frozenset({THERE, BACK}))
             for name in rest:
                 fleet.nodes[name].relay.deaf.add(lone.port)
-            await fleet.until(lambda: fleet.agree(rest, rest) and fleet.agree({"m4"}, {"m4"}),
-                              2 * within(5, link.loss))
+            await fleet.until(
+                lambda: fleet.agree(rest, rest) and fleet.agree({"m4"}, {"m4"}), 2 * within(5, link.loss)
+            )
             lone.relay.link = link
             for name in rest:
                 fleet.nodes[name].relay.deaf.clear()
@@ -146,8 +155,9 @@
         async with Fleet(tmp_path, 3) as fleet:
             one = fleet.nodes["m0"]
             loop = asyncio.get_running_loop()
-            flood, _ = await loop.create_datagram_endpoint(asyncio.DatagramProtocol,
-                                                           remote_addr=("127.0.0.1", one.port))
+            flood, _ = await loop.create_datagram_endpoint(
+                asyncio.DatagramProtocol, remote_addr=("127.0.0.1", one.port)
+            )
             ping = CODEC.encode("m9", 1, core.Ping(1, "nobody"))
             other = msgspec.msgpack.encode([frame.VERSION + 1, {"a": 1}])
             for i in range(6 * A_SECOND):
@@ -177,15 +187,20 @@
 
 
 def test_frames_fit_a_datagram_and_strange_ones_are_refused_plainly():
-    news = [core.News(f"limiter-with-a-long-name-{i:03}", f"127.0.0.1:{10_000 + i}", 1 << 40, 0)
-            for i in range(40)]
+    news = [
+        core.News(f"limiter-with-a-long-name-{i:03}", f"127.0.0.1:{10_000 + i}", 1 << 40, 0)
+        for i in range(40)
+    ]
     data = CODEC.encode("m0", 5, core.Sync(True, news))
     got = CODEC.decode(data)
     assert len(data) <= frame.MOST_BYTES and 10 < len(got.message.news) < 40 and got.name == "m0"
-    for bad, why in ((b"", "not a frame"), (b"x" * 2000, "longer"),
-                     (msgspec.msgpack.encode([2, "a"]), "version 2"),
-                     (msgspec.msgpack.encode([1, "", 1, ["p", 1, "a", []]]), "out of range"),
-                     (msgspec.msgpack.encode([1, "a", 1, ["z", 1]]), "not a frame"),
-                     (msgspec.msgpack.encode({"a": 1}), "not a frame")):
+    for bad, why in (
+        (b"", "not a frame"),
+        (b"x" * 2000, "longer"),
+        (msgspec.msgpack.encode([2, "a"]), "version 2"),
+        (msgspec.msgpack.encode([1, "", 1, ["p", 1, "a", []]]), "out of range"),
+        (msgspec.msgpack.encode([1, "a", 1, ["z", 1]]), "not a frame"),
+        (msgspec.msgpack.encode({"a": 1}), "not a frame"),
+    ):
         with pytest.raises(frame.Refused, match=why):
             CODEC.decode(bad)
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -49,8 +49,9 @@
     return [(folder / f"limiter-{i}" / "log").read_text() for i in range(4)]
 
 
-@pytest.mark.parametrize(("faults", "dead", "by"), [(KILLED, 3, (0, 1, 2)), (APART, 0, (1, 2, 3))],
-                         ids=["killed", "cut off"])
+@pytest.mark.parametrize(
+    ("faults", "dead", "by"), [(KILLED, 3, (0, 1, 2)), (APART, 0, (1, 2, 3))], ids=["killed", "cut off"]
+)
 def test_limiters_know_who_died_and_who_is_back_and_keep_every_rule(faults, dead, by, tmp_path):
     said = SCENE + faults
     files = asyncio.run(ground.play(scenario.parse(said, "peers.toml"), said, "peers.toml", tmp_path))
@@ -65,21 +66,28 @@
 
 
 def test_the_program_without_an_operators_file_imports_none_of_it():
-    code = ("import sys, lapisgrade.__main__, lapisgrade.drill.host\n"
-            "print([m for m in sys.modules if m.startswith(('lapisgrade.members', 'lapisgrade.peers', "
-            "'lapisgrade.lab', 'lapisgrade.standins', 'msgspec', 'click'))])")
+    code = (
+        "import sys, lapisgrade.__main__, lapisgrade.drill.host\n"
+        "print([m for m in sys.modules if m.startswith(('lapisgrade.members', 'lapisgrade.peers', "
+        "'lapisgrade.lab', 'lapisgrade.standins', 'msgspec', 'click'))])"
+    )
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
     assert done.stdout.strip() == "[]", done.stdout + done.stderr
     deploy = (ROOT / "deploy" / "balancer.toml").read_text()
     assert "--site" not in deploy and "peers" not in deploy
 
 
-@pytest.mark.parametrize(("text", "what"), [
-    ("", "no table"), ("[peers]\n", "peers.listen is not a host and a port"), ("[peers", "peers.toml: "),
-    ('[peers]\nlisten = "127.0.0.1:1"\nseeds = ["here"]\n', "a seed is not a host and a port"),
-    ('[peers]\nlisten = "127.0.0.1:1"\nport = 3\n', "peers.port is unknown"),
-    ('[peers]\nlisten = "127.0.0.1:1"\nseeds = 3\n', "not a list"),
-])
+@pytest.mark.parametrize(
+    ("text", "what"),
+    [
+        ("", "no table"),
+        ("[peers]\n", "peers.listen is not a host and a port"),
+        ("[peers", "peers.toml: "),
+        ('[peers]\nlisten = "127.0.0.1:1"\nseeds = ["here"]\n', "a seed is not a host and a port"),
+        ('[peers]\nlisten = "127.0.0.1:1"\nport = 3\n', "peers.port is unknown"),
+        ('[peers]\nlisten = "127.0.0.1:1"\nseeds = 3\n', "not a list"),
+    ],
+)
 def test_an_operators_file_that_makes_no_sense_is_refused_in_one_line(text, what, tmp_path):
     path = tmp_path / "peers.toml"
     path.write_text(text)
--- a/tests/fleet/test_plays.py
+++ b/tests/fleet/test_plays.py
@@ -85,22 +85,43 @@
 CUT = '[[party]]\nname = "left"\nlimiters = "0"\nservers = "0-1"\n'
 
 
-@pytest.mark.parametrize(("said", "felt"), [
-    (text(fault(1, "limiter_kill", "all", 0.3)), lambda f: f.exempt or f.ends["broken"]),
-    (text(fault(1, "limiter_pause", "0", 2.0)), lambda f: f.exempt),  # longer than every time-out
-    (text(fault(1, "counter_lost", for_s=1.5), fault(3, "counter_restart")),
-     lambda f: f.ends["finished"]),
-    (text(fault(1, "link_reset", "0-1", 0.2), fault(2, "link_cut", "2", 1.0, 'link = "server"')),
-     lambda f: f.stampede["connections"] > 1),
-    (text(CUT, fault(1, "partition", "group:left", 1.5), fault(1.2, "server_drain", "3")),
-     lambda f: f.ends["finished"]),
-    (text(fault(1, "link_slow", "0", 1.0, "delay_ms = 30\njitter_ms = 20"),
-          fault(1, "limiter_term", "1", 0.2), fault(2, "counter_swap"), run="clock_offset_ms = 50"),
-     lambda f: f.ends["finished"]),
-    # Swaps all through a start: told of before it hears signals, a limiter would be ended by the first.
-    (text(fault(1, "limiter_kill", "1", 0.1), *(fault(1.1 + 0.04 * i, "counter_swap") for i in range(12))),
-     lambda f: f.ends["finished"]),
-], ids=["all-killed", "paused", "counter", "links", "partition", "ending", "starting"])
+@pytest.mark.parametrize(
+    ("said", "felt"),
+    [
+        (text(fault(1, "limiter_kill", "all", 0.3)), lambda f: f.exempt or f.ends["broken"]),
+        (text(fault(1, "limiter_pause", "0", 2.0)), lambda f: f.exempt),  # longer than every time-out
+        (
+            text(fault(1, "counter_lost", for_s=1.5), fault(3, "counter_restart")),
+            lambda f: f.ends["finished"],
+        ),
+        (
+            text(fault(1, "link_reset", "0-1", 0.2), fault(2, "link_cut", "2", 1.0, 'link = "server"')),
+            lambda f: f.stampede["connections"] > 1,
+        ),
+        (
+            text(CUT, fault(1, "partition", "group:left", 1.5), fault(1.2, "server_drain", "3")),
+            lambda f: f.ends["finished"],
+        ),
+        (
+            text(
+                fault(1, "link_slow", "0", 1.0, "delay_ms = 30\njitter_ms = 20"),
+                fault(1, "limiter_term", "1", 0.2),
+                fault(2, "counter_swap"),
+                run="clock_offset_ms = 50",
+            ),
+            lambda f: f.ends["finished"],
+        ),
+        # Swaps all through a start: told of before it hears signals, a limiter would be ended by the first.
+        (
+            text(
+                fault(1, "limiter_kill", "1", 0.1),
+                *(fault(1.1 + 0.04 * i, "counter_swap") for i in range(12)),
+            ),
+            lambda f: f.ends["finished"],
+        ),
+    ],
+    ids=["all-killed", "paused", "counter", "links", "partition", "ending", "starting"],
+)
 def test_rules_hold_over_all_processes(said, felt, tmp_path):
     got = play(said, tmp_path)
     assert got.ok, got.breaches[:5]
@@ -131,10 +152,20 @@
 def test_no_process_is_left_however_the_ground_ends(way, tmp_path):
     scene = tmp_path / "scene.toml"
     scene.write_text(text(fault(0.2, "limiter_pause", "0", 20), seconds=30))
-    args = [sys.executable, "-m", "lapisgrade.cli", "lab", "fleet", "run", str(scene), "--out",
-            str(tmp_path / "out")]
-    child = subprocess.Popen(args, cwd=process.ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE,
-                             text=True)
+    args = [
+        sys.executable,
+        "-m",
+        "lapisgrade.cli",
+        "lab",
+        "fleet",
+        "run",
+        str(scene),
+        "--out",
+        str(tmp_path / "out"),
+    ]
+    child = subprocess.Popen(
+        args, cwd=process.ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE, text=True
+    )
     try:
         pids: list[int] = []
         until = time.monotonic() + 30
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -282,7 +282,8 @@
         answer = {
             "well": f"HTTP/1.1 200 OK\r\nContent-Length: {len(body) + 4}\r\n\r\nfor ".encode() + body,
             "chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfor \r\n"
-            + (b"%x\r\n%b\r\n" % (len(body), body) if body else b"") + b"0\r\n\r\n",
+            + (b"%x\r\n%b\r\n" % (len(body), body) if body else b"")
+            + b"0\r\n\r\n",
             "early": b"HTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\n"
             b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\nfor %b" % (len(body) + 4, body),
             "end": b"HTTP/1.1 200 OK\r\n\r\nfor " + body,
@@ -381,11 +382,20 @@
     async def __aenter__(self):
         for each in (*self.backends, self.till):
             await each.open()
-        self.agent = await Agent([
-            {"instanceId": f"s{i}", "hostPort": f"127.0.0.1:{each.port}", "zone": "z", "cell": 1,
-             "lifecycle": "in_service", "weight": 1.0, "startedAtMs": 0}
-            for i, each in enumerate(self.backends)
-        ]).open()
+        self.agent = await Agent(
+            [
+                {
+                    "instanceId": f"s{i}",
+                    "hostPort": f"127.0.0.1:{each.port}",
+                    "zone": "z",
+                    "cell": 1,
+                    "lifecycle": "in_service",
+                    "weight": 1.0,
+                    "startedAtMs": 0,
+                }
+                for i, each in enumerate(self.backends)
+            ]
+        ).open()
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.port = free.getsockname()[1]
         self.service = Service(self.told())
@@ -403,23 +413,50 @@
     def told(self):
         kinds = [("look", "repeatable"), ("file", "by_key"), ("burn", "once")]
         return {
-            "name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{self.agent.port}",
-            "seed": "8c1f30d27a5be964", "counter": f"127.0.0.1:{self.till.port}",
+            "name": "n0",
+            "listen": f"127.0.0.1:{self.port}",
+            "discovery": f"127.0.0.1:{self.agent.port}",
+            "seed": "8c1f30d27a5be964",
+            "counter": f"127.0.0.1:{self.till.port}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
             "known": self.agent.told(),
             "settings": {
-                "SelfIndex": 0, "NInstances": 1, "Zone": "z", "Zones": ["z"],
+                "SelfIndex": 0,
+                "NInstances": 1,
+                "Zone": "z",
+                "Zones": ["z"],
                 "RequestClasses": [
-                    {"Name": name, "Idempotency": repeat, "Aim": 400.0, "Deadline": 1000.0, "Worth": 1.0,
-                     "Group": "all", "KeyTtl": 4000.0}
+                    {
+                        "Name": name,
+                        "Idempotency": repeat,
+                        "Aim": 400.0,
+                        "Deadline": 1000.0,
+                        "Worth": 1.0,
+                        "Group": "all",
+                        "KeyTtl": 4000.0,
+                    }
                     for name, repeat in kinds
                 ],
-                "TiersOfService": [{"Name": "wide", "UnitsPerS": 500, "Burst": 900},
-                                   {"Name": "none", "UnitsPerS": 0.1, "Burst": 1}],
-                "Ceilings": {"AttemptsCap": 4, "Cancel": True, "ParallelTries": True, "RetryAfter": True,
-                             "MaxRetryAfter": 500.0, "DialTimeout": 100.0, "Keepalive": 30000.0},
-                "Rules": {"DrainGrace": 250.0, "Cold": 5000.0, "ColdFrom": 0.3, "Fall": 1000.0,
-                          "FallMultiple": 4.0},
+                "TiersOfService": [
+                    {"Name": "wide", "UnitsPerS": 500, "Burst": 900},
+                    {"Name": "none", "UnitsPerS": 0.1, "Burst": 1},
+                ],
+                "Ceilings": {
+                    "AttemptsCap": 4,
+                    "Cancel": True,
+                    "ParallelTries": True,
+                    "RetryAfter": True,
+                    "MaxRetryAfter": 500.0,
+                    "DialTimeout": 100.0,
+                    "Keepalive": 30000.0,
+                },
+                "Rules": {
+                    "DrainGrace": 250.0,
+                    "Cold": 5000.0,
+                    "ColdFrom": 0.3,
+                    "Fall": 1000.0,
+                    "FallMultiple": 4.0,
+                },
                 "Specifics": {"SharedCounter": True, "CountLimit": 30.0, "UnitsTop": 6},
             },
         }
@@ -432,8 +469,13 @@
 
     def request(self, kind="look", number="1", body=b"", path="/api?q=1", timeout="0.800", **more):
         headers = {
-            "Host": "api.internal", "X-Request-ID": number, "X-Priority-Class": kind, "X-Plan": "wide",
-            "X-Customer": "00000000b4d65521", "X-Timeout": timeout, "X-Quota": "units=2,spread=1,first=0",
+            "Host": "api.internal",
+            "X-Request-ID": number,
+            "X-Priority-Class": kind,
+            "X-Plan": "wide",
+            "X-Customer": "00000000b4d65521",
+            "X-Timeout": timeout,
+            "X-Quota": "units=2,spread=1,first=0",
         }
         if kind == "file":
             headers["Idempotency-Key"] = "k" + number
--- a/tests/railway/test_first_train.py
+++ b/tests/railway/test_first_train.py
@@ -112,7 +112,6 @@
             dict.fromkeys(range(1, 7), MOMENT),
         )
 
-
     def test_a_merged_version_waits_for_those_who_were_cut_off_with_a_draft(self) -> None:
         """Guards claims at a carrier that was counted out over the break and has not asked since the heal."""
         state = Ledger().state
--- a/tests/railway/test_toolbox.py
+++ b/tests/railway/test_toolbox.py
@@ -241,7 +241,9 @@
         depot.renew(msgspec.msgpack.encode(msgspec.structs.replace(old[0], entries=entries)))
         depot.close()
         told = "\n".join(Inventory(self.folder).history)
-        self.assertEqual(told[told.index("entry 3"):], f"""\
+        self.assertEqual(
+            told[told.index("entry 3") :],
+            f"""\
 entry 3, term 2: draft {self.name} by amel: merged as version 2
     Routes/r-claim/Prio: 1 -> 9
 entry 4, term 2: a change was refused: 412 version 2 is in force, not 1
@@ -251,7 +253,8 @@
 entry 7, term 2: server i-1 drains
 entry 8, term 2: server i-1 is gone
 entry 9, term 2: 2 carriers live: m1, m2
-entry 10, term 2: draft nobody: closed""")
+entry 10, term 2: draft nobody: closed""",
+        )
         put = "entry 1, term 1: voters: first\nentry 2, term 1: version 1 on 0 was put\n    Caps/BodyBytes: "
         self.assertIn(put, told)
         self.assertNotIn("key-of-sfax", told)
--- a/tests/railway/test_turnstile.py
+++ b/tests/railway/test_turnstile.py
@@ -29,9 +29,7 @@
 
 def cast(names, lives=None) -> dict[str, tuple[str, str, str]]:
     lives = lives or {}
-    return {
-        name: (f"10.0.0.{number}:1", str(lives.get(name, 0)), "z") for number, name in enumerate(names)
-    }
+    return {name: (f"10.0.0.{number}:1", str(lives.get(name, 0)), "z") for number, name in enumerate(names)}
 
 
 class Carrier:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -34,8 +34,10 @@
 
 
 def fault(kind: str, target: str = "all", at_s: float = 1.0, for_s: float = 1.5, factor: float = 1.0) -> str:
-    return (f'\n[[fault]]\nat_s = {at_s}\nkind = "{kind}"\ntarget = "{target}"\nfor_s = {for_s}\n'
-            f"factor = {factor}\n")
+    return (
+        f'\n[[fault]]\nat_s = {at_s}\nkind = "{kind}"\ntarget = "{target}"\nfor_s = {for_s}\n'
+        f"factor = {factor}\n"
+    )
 
 
 def test_the_same_scenario_and_seed_give_the_same_run():
@@ -49,21 +51,24 @@
 
 
 @pytest.mark.parametrize("policy", ["module", "local", "central"])
-@pytest.mark.parametrize(("kind", "target", "factor", "seen"), [
-    ("server_kill", "share:0.5", 1.0, lambda r, w: counted(w, "no connection")),
-    ("server_drain", "0-1", 1.0, lambda r, w: r.ends["finished"]),
-    ("server_slow", "all", 20.0, lambda r, w: r.latency_ms["max"] > 300),
-    ("server_failing", "all", 0.5, lambda r, w: counted(w, "errors")),
-    ("server_fast_errors", "0-2", 1.0, lambda r, w: counted(w, "errors")),
-    ("server_silent", "0", 1.0, lambda r, w: r.ends["finished"]),
-    ("limiter_kill", "share:0.5", 1.0, lambda r, w: r.ends["front"]),
-    ("counter_lost", "all", 1.0, lambda r, w: r.counter_unanswered or r.policy == "local"),
-    ("counter_cut", "0-1", 1.0, lambda r, w: r.counter_unanswered or r.policy == "local"),
-    ("counter_split", "all", 1.0, lambda r, w: w.counter.split is None),
-    ("counter_restart", "all", 1.0, lambda r, w: r.ends["finished"]),
-    ("surge", "all", 3.0, lambda r, w: max(r.series["arrived"]) > 300),
-    ("discovery_stale", "all", 1.0, lambda r, w: not w.held_news),
-])
+@pytest.mark.parametrize(
+    ("kind", "target", "factor", "seen"),
+    [
+        ("server_kill", "share:0.5", 1.0, lambda r, w: counted(w, "no connection")),
+        ("server_drain", "0-1", 1.0, lambda r, w: r.ends["finished"]),
+        ("server_slow", "all", 20.0, lambda r, w: r.latency_ms["max"] > 300),
+        ("server_failing", "all", 0.5, lambda r, w: counted(w, "errors")),
+        ("server_fast_errors", "0-2", 1.0, lambda r, w: counted(w, "errors")),
+        ("server_silent", "0", 1.0, lambda r, w: r.ends["finished"]),
+        ("limiter_kill", "share:0.5", 1.0, lambda r, w: r.ends["front"]),
+        ("counter_lost", "all", 1.0, lambda r, w: r.counter_unanswered or r.policy == "local"),
+        ("counter_cut", "0-1", 1.0, lambda r, w: r.counter_unanswered or r.policy == "local"),
+        ("counter_split", "all", 1.0, lambda r, w: w.counter.split is None),
+        ("counter_restart", "all", 1.0, lambda r, w: r.ends["finished"]),
+        ("surge", "all", 3.0, lambda r, w: max(r.series["arrived"]) > 300),
+        ("discovery_stale", "all", 1.0, lambda r, w: not w.held_news),
+    ],
+)
 def test_each_fault_is_felt_and_every_rule_holds(policy, kind, target, factor, seen):
     world = World(scenario.parse(SMALL.format(policy=policy) + fault(kind, target, factor=factor), "t.toml"))
     result = world.run()
@@ -126,14 +131,17 @@
     assert any(breach["rule"] == 5 for breach in result.breaches)
 
 
-@pytest.mark.parametrize(("text", "said"), [
-    ("[run]\nseconds = 'long'\n", "test.toml:2: run.seconds: not a number"),
-    ("[run]\nlimiters = 4\n\n[servers]\ncapacty = 3\n", "test.toml:5: servers.capacty: no such key"),
-    ("[[fault]]\nat_s = 1\nkind = \"melt\"\n", "test.toml:3: fault[0].kind: 'melt' is not one of"),
-    ("[[fault]]\nkind = \"surge\"\ntarget = \"most\"\n", "test.toml:3: fault[0].target"),
-    ("[run\nseconds = 3\n", "test.toml: "),
-    ("[run]\nrate = -5\n", "test.toml:2: run.rate: -5 is outside"),
-])
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("[run]\nseconds = 'long'\n", "test.toml:2: run.seconds: not a number"),
+        ("[run]\nlimiters = 4\n\n[servers]\ncapacty = 3\n", "test.toml:5: servers.capacty: no such key"),
+        ('[[fault]]\nat_s = 1\nkind = "melt"\n', "test.toml:3: fault[0].kind: 'melt' is not one of"),
+        ('[[fault]]\nkind = "surge"\ntarget = "most"\n', "test.toml:3: fault[0].target"),
+        ("[run\nseconds = 3\n", "test.toml: "),
+        ("[run]\nrate = -5\n", "test.toml:2: run.rate: -5 is outside"),
+    ],
+)
 def test_a_bad_scenario_gets_one_plain_line_naming_where(text, said):
     with pytest.raises(scenario.ScenarioError) as caught:
         scenario.parse(text, "test.toml")
@@ -147,8 +155,10 @@
     done = runner.invoke(cli, ["lab", "run", str(path), "--out", str(tmp_path / "r.json"), "--seed", "5"])
     assert done.exit_code == 0, done.output
     assert json.loads((tmp_path / "r.json").read_text())["seed"] == 5
-    shown = runner.invoke(cli, ["lab", "report", str(tmp_path / "r.json"), str(tmp_path / "r.json"),
-                                "--out", str(tmp_path / "rep")])
+    shown = runner.invoke(
+        cli,
+        ["lab", "report", str(tmp_path / "r.json"), str(tmp_path / "r.json"), "--out", str(tmp_path / "rep")],
+    )
     assert shown.exit_code == 0 and (tmp_path / "rep.png").read_bytes()[:4] == b"\x89PNG"
     assert "<table>" in (tmp_path / "rep.html").read_text()
     path.write_text("[run]\nlimiters = 'many'\n")
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -121,11 +121,17 @@
     assert max(a_second) <= 20 and sum(a_second) / count <= 14
 
 
-@pytest.mark.parametrize("lie", [
-    News("m000", "m000", 10**15, State.DEAD, "m009"), News("m000", "m000", (1 << 62) + 5, State.DEAD, "m009"),
-    News("m000", "elsewhere", 0, State.ALIVE), News("x" * 1000, "a", 1, State.ALIVE),
-    News("m000", "m000", -4, State.DEAD), News("m000", "m000", 1, 7),
-])
+@pytest.mark.parametrize(
+    "lie",
+    [
+        News("m000", "m000", 10**15, State.DEAD, "m009"),
+        News("m000", "m000", (1 << 62) + 5, State.DEAD, "m009"),
+        News("m000", "elsewhere", 0, State.ALIVE),
+        News("x" * 1000, "a", 1, State.ALIVE),
+        News("m000", "m000", -4, State.DEAD),
+        News("m000", "m000", 1, 7),
+    ],
+)
 def test_lies_about_a_member_are_refuted_or_refused(lie):
     net, names = fleet(10, 12)
     for node in net.live()[1:]:
@@ -156,12 +162,19 @@
     assert play() == play()
 
 
-NEWS = st.builds(News, st.sampled_from(["a", "b", "c", "d"]), st.sampled_from(["a", "b"]),
-                 st.integers(0, 4), st.sampled_from([0, 1, 2]), st.sampled_from(["", "b", "c"]))
+NEWS = st.builds(
+    News,
+    st.sampled_from(["a", "b", "c", "d"]),
+    st.sampled_from(["a", "b"]),
+    st.integers(0, 4),
+    st.sampled_from([0, 1, 2]),
+    st.sampled_from(["", "b", "c"]),
+)
 MESSAGES = st.one_of(
     st.builds(Ping, st.integers(0, 9), st.sampled_from(["a", "b"]), st.lists(NEWS, max_size=4)),
-    st.builds(core.Ask, st.integers(0, 9), st.sampled_from(["b", "c"]), st.just("b"),
-              st.lists(NEWS, max_size=4)),
+    st.builds(
+        core.Ask, st.integers(0, 9), st.sampled_from(["b", "c"]), st.just("b"), st.lists(NEWS, max_size=4)
+    ),
     st.builds(Ack, st.integers(0, 9), st.booleans(), st.lists(NEWS, max_size=4)),
     st.builds(Sync, st.booleans(), st.lists(NEWS, max_size=4)),
 )
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -97,16 +97,31 @@
 async def test_bad_requests_get_400_and_no_traceback(capfd):
     async with Site() as site:
         for bad in [
-            {"X_Plan": "other"}, {"X_Plan": None}, {"X_Customer": "zz"}, {"X_Timeout": "soon"},
-            {"X_Timeout": "-1"}, {"X_Timeout": "1e400"}, {"X_Quota": "units=0"}, {"X_Quota": "units=x"},
-            {"X_Quota": "spread=1e9"}, {"X_Quota": "units=7,spread=1,first=0"},
-            {"X_Timeout": "1e300"}, {"X_Quota": "units=1,spread=2,first=0"},
+            {"X_Plan": "other"},
+            {"X_Plan": None},
+            {"X_Customer": "zz"},
+            {"X_Timeout": "soon"},
+            {"X_Timeout": "-1"},
+            {"X_Timeout": "1e400"},
+            {"X_Quota": "units=0"},
+            {"X_Quota": "units=x"},
+            {"X_Quota": "spread=1e9"},
+            {"X_Quota": "units=7,spread=1,first=0"},
+            {"X_Timeout": "1e300"},
+            {"X_Quota": "units=1,spread=2,first=0"},
             {"X_Quota": "units=1,spread=1,first=1"},
-            {"X_Quota": "units=1,spread=0,first=0"}, {"X_Customer": "00000002b4d65521"},
-            {"kind": "look", "body": b"x"}, {"X_Quota": "units=nan,spread=1,first=0"},
-            {"X_Request_ID": "a b"}, {"X_Priority_Class": "look"}, {"X_Priority_Class": "none"},
-            {"X_Request_ID": None}, {"X_Customer": "\xff" * 8}, {"Content_Length": "many"},
-            {"Host": None}, {"bad header": "1"},
+            {"X_Quota": "units=1,spread=0,first=0"},
+            {"X_Customer": "00000002b4d65521"},
+            {"kind": "look", "body": b"x"},
+            {"X_Quota": "units=nan,spread=1,first=0"},
+            {"X_Request_ID": "a b"},
+            {"X_Priority_Class": "look"},
+            {"X_Priority_Class": "none"},
+            {"X_Request_ID": None},
+            {"X_Customer": "\xff" * 8},
+            {"Content_Length": "many"},
+            {"Host": None},
+            {"bad header": "1"},
             {"kind": "file", "Idempotency_Key": None},
         ]:
             status, headers, _ = await site.ask(**{"kind": "burn", **bad})
@@ -116,7 +131,8 @@
         hidden = site.request("burn", "hidden", b"x")
         for bad in [
             {"Transfer_Encoding": "chunked", "Content_Length": str(len(hidden) + 5)},
-            {"Content_Length": "60000000"}, {"Content_Length": "-5"},
+            {"Content_Length": "60000000"},
+            {"Content_Length": "-5"},
         ]:
             reader, writer = await site.connect()
             writer.write(site.request("burn", "outer", **bad) + b"0\r\n\r\n" + hidden)
@@ -290,7 +306,9 @@
 
     def run():
         return subprocess.Popen(
-            [sys.executable, "-m", "lapisgrade"], stderr=subprocess.PIPE, text=True,
+            [sys.executable, "-m", "lapisgrade"],
+            stderr=subprocess.PIPE,
+            text=True,
             env={**os.environ, "ROUTER_CONFIG": str(told)},
         )
 
@@ -334,8 +352,9 @@
         site.till.manner = site.backends[1].manner = 0.02
         early = [asyncio.create_task(site.ask("burn", f"early-{i}")) for i in range(4)]
         await until(lambda: site.till.seen)
-        site.service.reload({**site.told(), "discovery": f"127.0.0.1:{agent.port}",
-                             "counter": f"127.0.0.1:{till.port}"})
+        site.service.reload(
+            {**site.told(), "discovery": f"127.0.0.1:{agent.port}", "counter": f"127.0.0.1:{till.port}"}
+        )
         for each in (site.agent, site.till):
             each.server.close()  # takes no new connections; open ones stay
         assert [(await each)[0] for each in early] == [200] * 4
@@ -594,8 +613,15 @@
         assert await tell(1.0, "silent") == (Tally.SILENT, 0.0)
         assert await tell(1.0, "well") == (Tally.ADDED, 5.0)  # on a new connection
         for spoilt in [
-            b"$3\r\nnan\r\n", b"$4\r\n1e99", b"$4\r\nmany\r\n", b"$9999999\r\n", b":5\r\n", b"\r\n",
-            b"$1\r\n55\r\n", b"$-1\r\n", b"-" + bytes(999),
+            b"$3\r\nnan\r\n",
+            b"$4\r\n1e99",
+            b"$4\r\nmany\r\n",
+            b"$9999999\r\n",
+            b":5\r\n",
+            b"\r\n",
+            b"$1\r\n55\r\n",
+            b"$-1\r\n",
+            b"-" + bytes(999),
         ]:
             assert await tell(1.0, spoilt) == (Tally.SILENT, 0.0)
         site.till.close()
@@ -732,8 +758,9 @@
     site = Site()
     site.port, site.agent = 1, SimpleNamespace(port=1, told=lambda: {})
     tree = start.flat(site.told()["settings"])
-    line = start.Fields({name: str(value).lower() if value in (True, False) else str(value)
-                         for name, value in tree.items()})
+    line = start.Fields(
+        {name: str(value).lower() if value in (True, False) else str(value) for name, value in tree.items()}
+    )
     for read in (start.categories, start.plans, start.duties, start.leave, start.desk, start.lines):
         assert read(tree) == read(line)
     assert [each.name for each in start.categories(tree)] == ["look", "file", "burn"]
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -52,10 +52,19 @@
 def test_the_counter_adds_turns_away_and_refuses_what_it_does_not_know():
     async def go():
         till = await counter.Counter().open()
-        heard = await call(till.port, [b"INCRTTL", b"k", b"2.5", b"4000"], [b"INCRTTL", b"k", b"-1", b"4000"],
-                           [b"PING"], [b"SELECT", b"0"], [b"GET", b"k"], [b"INCRTTL", b"k", b"lots", b"1"])
-        assert heard == b"$3\r\n2.5\r\n$3\r\n1.5\r\n+PONG\r\n+OK\r\n" \
+        heard = await call(
+            till.port,
+            [b"INCRTTL", b"k", b"2.5", b"4000"],
+            [b"INCRTTL", b"k", b"-1", b"4000"],
+            [b"PING"],
+            [b"SELECT", b"0"],
+            [b"GET", b"k"],
+            [b"INCRTTL", b"k", b"lots", b"1"],
+        )
+        assert (
+            heard == b"$3\r\n2.5\r\n$3\r\n1.5\r\n+PONG\r\n+OK\r\n"
             b"-ERR unknown command 'GET'\r\n-ERR the amount or the life is not a number\r\n"
+        )
         till.manner = counter.Manner.BUSY
         assert await call(till.port, [b"INCRTTL", b"k", b"1", b"9"]) == b"-BUSY try later\r\n"
         assert till.store.counts[b"k"].total == 1.5 and till.tally.busy == 1
@@ -231,8 +240,13 @@
     assert tally.counts["finished"] == 300 and tally.counts["lost"] == 0
     assert latency.get_value_at_percentile(99) >= 900_000
     # Those due in the first half of the stall waited half a second or more: a sixth of all.
-    slow = sum(count for value, count in ((v.value_iterated_to, v.count_added_in_this_iter_step)
-                                          for v in latency.get_recorded_iterator()) if value >= 500_000)
+    slow = sum(
+        count
+        for value, count in (
+            (v.value_iterated_to, v.count_added_in_this_iter_step) for v in latency.get_recorded_iterator()
+        )
+        if value >= 500_000
+    )
     assert slow >= 0.13 * 300
     assert tally.lag.get_value_at_percentile(99) < 100_000  # the tool itself kept to its clock
 
