--- a/lapisgrade/decide/fleet.py
+++ b/lapisgrade/decide/fleet.py
@@ -118,8 +118,8 @@
                 server.work = Bucket(now, 0.0, 0.0, 0.0)
                 server.silent_from, server.ill.value = 0, 0.0
         # One that is gone is forgotten when nothing of it is to come (guards memory, and the parts' sizes).
-        self.servers = {name: each for name, each in self.servers.items() if each.out or (
-            each.entry and each.entry.state is not Listed.GONE) or now - each.last_sent < NAME_LIFE}  # fmt: skip
+        self.servers = {name: each for name, each in self.servers.items() if each.out or (now - each.last_sent
+            < NAME_LIFE) or (each.entry and each.entry.state is not Listed.GONE)}  # fmt: skip
         self.divide()
         if not self.bound:
             self.bound = max(1.0, HOPS_LEAST * len(entries) / self.post.limiters)
--- a/lapisgrade/decide/limiter.py
+++ b/lapisgrade/decide/limiter.py
@@ -69,7 +69,8 @@
         worth = min(1.0, value * self.valued.read(now) / self.value.read(now))
         full = SHED_FROM + (1 - SHED_FROM) * worth
         return (yield from self.hold(
-            op, lambda: fleet.fullness() < full and account.slot(op.units, fleet.usual(op.category))))  # fmt: skip
+            op, lambda: fleet.fullness() < full and account.slot(op.units, fleet.usual(op.category))
+        ))  # fmt: skip
 
     def hold(self, op: Operation, ready: Callable[[], bool]) -> Generator:
         """Wait at the door until it is ready, or too late, or too many wait already."""
--- a/lapisgrade/lab/explore/first_train.py
+++ b/lapisgrade/lab/explore/first_train.py
@@ -16,6 +16,7 @@
 from lapisgrade.lab.emulator.sim import Sim
 from lapisgrade.lab.explore.defects import Defects, switched
 from lapisgrade.railway import SECOND, talk, telegraph, timetable
+from lapisgrade.railway.configuration_delta import EncodedVersion, decode
 from lapisgrade.railway.junction import core
 from lapisgrade.railway.settings import Slo
 from lapisgrade.railway.signalbox.ledger import Change, Ledger, State, encoded
@@ -57,6 +58,7 @@
         self.life += 1
         self.junction = core.Junction(Clock(self.world.sim.now), 1, Slo(), "z", self.name)
         self.ver, self.fence, self.frozen_until, self.asked, self.cast = 0, 0, 0, 0, {}
+        self.texts: dict[int, bytes] = {}
         self.ask()
 
     def ask(self) -> None:
@@ -87,16 +89,21 @@
         if self.name in self.cast:
             junction.heard_us = max(junction.heard_us, sent)
         if news.conf is not None and news.ver > self.ver:
-            self.act(timetable.Table(timetable.read(msgspec.json.decode(news.conf))))
+            self.act(self.read(news.conf))
         elif news.ver in junction.held:
             self.act(junction.held[news.ver])
         elif news.ver > self.ver:
             junction.held.clear()
         for each in news.staged.values():
-            junction.hold(timetable.Table(timetable.read(msgspec.json.decode(each))))
+            junction.hold(self.read(each))
         self.fence = news.fence
         self.ask()
 
+    def read(self, encoded: EncodedVersion) -> timetable.Table:
+        text = decode(encoded, self.texts.get(encoded.base, b""))
+        self.texts[encoded.ver] = text
+        return timetable.Table(timetable.read(msgspec.json.decode(text)))
+
     def act(self, table: timetable.Table) -> None:
         self.ver = table.ver
         self.junction.configured(table)
--- a/lapisgrade/lab/explore/line.py
+++ b/lapisgrade/lab/explore/line.py
@@ -6,10 +6,11 @@
 
 import msgspec
 
-from lapisgrade.railway.signalbox import core
-from lapisgrade.railway.signalbox.core import Core, Out
+from lapisgrade.railway.consensus.messages import JoinRequest
+from lapisgrade.railway.consensus.node import Node
+from lapisgrade.railway.consensus.records import Effects, Record, SnapshotRecord
 
-RECORD = msgspec.msgpack.Decoder(core.Record)
+RECORD = msgspec.msgpack.Decoder(Record)
 SECOND = 1_000_000
 
 
@@ -21,7 +22,7 @@
         self.random, self.now, self._order = Random(seed), 0, 0
         self.events: list = []
         self.cut: set[tuple[str, str]] = set()
-        self.boxes: dict[str, Core | None] = {}
+        self.boxes: dict[str, Node | None] = {}
         self.disk: dict[str, list[bytes]] = {}
         self.lives: dict[str, int] = {}
         self.taken: dict[str, list[bytes]] = {}
@@ -43,10 +44,10 @@
         records = [RECORD.decode(each) for each in self.disk.get(name, [])]
         seed = Random(self.random.random())
         if records:
-            box = Core.recovered(records, address, seed, self.now)
+            box = Node.recovered(records, address, seed, self.now)
         else:
-            box = Core(identity or name, address, seed, self.now, voters)
-            self.disk[name] = [msgspec.msgpack.encode(box.whole())]
+            box = Node(identity or name, address, seed, self.now, voters)
+            self.disk[name] = [msgspec.msgpack.encode(box.snapshot_record())]
         self.boxes[name] = box
         self.at(50_000, "join", name, life)
         self.drain(name)
@@ -73,7 +74,7 @@
 
     def drain(self, name: str) -> None:
         box = self.boxes[name]
-        out, box.out = box.out, Out()
+        out, box.effects = box.effects, Effects()
         for write in out.writes:
             # A disk takes one write after another.
             done = max(self.written.get(name, 0) + 1, self.now + self.random.randrange(500, 6000))
@@ -103,27 +104,27 @@
             if box is None or (kind != "heard" and rest[0] != self.lives[name]):
                 continue
             if kind == "due":
-                box.due(self.now)
+                box.tick(self.now)
                 self.at(min(20_000, max(1000, box.wakes_us - self.now)), "due", name, rest[0])
             elif kind == "heard":
-                box.heard(self.now, rest[0])
+                box.receive(self.now, rest[0])
             elif kind == "join":
-                if not box.leader or box.me not in box.voters:
+                if not box.leader or box.identity not in box.voters:
                     for other in self.boxes:
-                        self.send(name, other, core.Join(box.me, box.address))
+                        self.send(name, other, JoinRequest(box.identity, box.address))
                 self.at(300_000, "join", name, rest[0])
             else:
                 write = rest[1]
-                if any(isinstance(each, core.Whole) for each in write.records):
-                    self.disk[name] = [msgspec.msgpack.encode(box.whole())]
-                    box.wrote(self.now, box.last, box.term_at(box.last))
+                if any(isinstance(each, SnapshotRecord) for each in write.records):
+                    self.disk[name] = [msgspec.msgpack.encode(box.snapshot_record())]
+                    box.written(self.now, box.log.last, box.log.last_term)
                 else:
                     self.disk[name] += [msgspec.msgpack.encode(each) for each in write.records]
-                    box.wrote(self.now, write.upto, write.upto_term)
+                    box.written(self.now, write.last_index, write.last_term)
                 for to, message in write.then:
                     self.send(name, self.place(to), message)
             self.drain(name)
-            if box.long:
+            if box.needs_compaction:
                 box.compact(b"|".join(self.taken[name]))
         self.now = ends
 
--- a/lapisgrade/lab/explore/log.py
+++ b/lapisgrade/lab/explore/log.py
@@ -8,7 +8,8 @@
 
 from lapisgrade.lab.explore.defects import Defects, switched
 from lapisgrade.lab.explore.line import Line
-from lapisgrade.railway.signalbox.core import Append, Appended, Core
+from lapisgrade.railway.consensus.messages import AppendEntries, AppendEntriesReply
+from lapisgrade.railway.consensus.node import Node
 
 UNIT = "changes"
 MOST_SAID = 24  # lines that are told of what led to the first thing that was wrong
@@ -58,12 +59,12 @@
     if not line.leader():
         return line.break_("nobody leads after a calm end")
     leader = line.boxes[line.leader()]
-    held = [each.data for each in leader.log[: leader.commit - leader.base] if each.data]
+    held = [each.data for each in leader.log.entries[: leader.commit - leader.log.base] if each.data]
     for data, (name, term) in line.acked.items():
         if data not in held:
             line.break_(f"{data!r} was acknowledged by {name} in term {term} and is gone")
     for name, box in line.boxes.items():
-        mine = [each.data for each in box.log[: box.commit - box.base] if each.data]
+        mine = [each.data for each in box.log.entries[: box.commit - box.log.base] if each.data]
         if mine != held[: len(mine)]:
             line.break_(f"{name} has another log")
 
@@ -77,24 +78,24 @@
     self.disk[name] = self.disk[name][:1] if len(self.disk[name]) < 5 else self.disk[name][:-4]
 
 
-def _alone(self: Core) -> None:
+def _alone(self: Node) -> None:
     """A leader commits what is on its own disk."""
-    if self.durable > self.commit and self.term_at(self.durable) == self.term:
-        self._commit(self.durable)
-        self._send_all(beat=True)
+    if self.durable > self.commit and self.log.term_at(self.durable) == self.term:
+        self._commit_up_to(self.durable)
+        self._send_to_all(heartbeat=True)
 
 
-def _unwritten(self: Core, word: Append) -> None:
+def _unwritten(self: Node, message: AppendEntries) -> None:
     """A follower acknowledges what is not on its disk yet."""
-    if word.term == self.term and word.by == self.leader:
-        told = Appended(self.term, self.me, self.address, True, self.agreed, word.sent_us)
-        self.out.sends.append((word.address, told))
+    if message.term == self.term and message.leader == self.leader:
+        told = AppendEntriesReply(self.term, self.identity, self.address, True, self.agreed, message.sent_us)
+        self._send(message.address, told)
 
 
 DEFECTS: Defects = {
     "lying-disk": (Line, "kill", _lying),
-    "commits-alone": (Core, "_advance", _alone),
-    "says-before-written": (Core, "_acknowledge", _unwritten),
+    "commits-alone": (Node, "_advance_commit", _alone),
+    "says-before-written": (Node, "_acknowledge", _unwritten),
 }
 
 
--- a/lapisgrade/railway/__init__.py
+++ b/lapisgrade/railway/__init__.py
@@ -1,4 +1,7 @@
 """The whole system round the limiter: control that keeps the configuration and the list of servers, and
 carriers that take both from it, route, and limit. docs/design/system.md says which part does what."""
 
+import time
+
 SECOND = 1_000_000  # us; all times inside the pure parts are whole microseconds of one steady clock
+STARTED_US = time.monotonic_ns() // 1000  # when this process began to load its code
--- a/lapisgrade/railway/carrier.py
+++ b/lapisgrade/railway/carrier.py
@@ -20,6 +20,7 @@
 from lapisgrade.net.http import Message as Http
 from lapisgrade.railway import SECOND, talk, timetable
 from lapisgrade.peers.frame import MOST_NAME
+from lapisgrade.railway.configuration_delta import EncodedVersion, decode
 from lapisgrade.railway.couplings.groups import REPEAT
 from lapisgrade.railway.couplings.shuffles import Shuffles
 from lapisgrade.railway.couplings.views import Views
@@ -262,6 +263,8 @@
         self.readyz = Halt(self._ready, 4096)
         self.acts_until = 0  # us until when a count may be held under the cast
         self.ver, self.life, self.turn, self.wants_known = 0, "", 0, False
+        self._texts: dict[int, bytes] = {}  # of the version in force and those held ready
+        self._lost_base = False  # a version could not be read: the next ones are asked for whole
         self.own = f"{self.random.getrandbits(64):016x}"  # this process's life
         self.holder = Holder(settings.hostname, self.own, now_us())
         self.refused: set[str] = set()
@@ -406,6 +409,7 @@
                 sorted(self.refused),
                 max(self.junction.held, default=self.ver),
                 self.settings.quorum,
+                self._lost_base,
             )
             got = await self.exchange.call(place, ask, NEWS)
             news = got.value_or(None)
@@ -415,9 +419,10 @@
             if points.answered(now_us(), news if isinstance(news, talk.News) else None):
                 try:
                     self._take(news, sent)
-                except Bad as wrong:
+                except (Bad, msgspec.MsgspecError) as wrong:
                     log.error("a configuration that can't be read: %s", wrong)
-                    await asyncio.sleep(0.5)
+                    self._lost_base = True
+                    await asyncio.sleep(ASK_AGAIN)
                 continue
             self.counts["asks unanswered"] += 1
             await asyncio.sleep(ASK_AGAIN)
@@ -431,18 +436,30 @@
         self.junction.configured(table)
         log.info("version %d", self.ver)
 
+    def _table(self, encoded: EncodedVersion) -> Table:
+        """That version, read; Bad where it can't be."""
+        text = decode(encoded, self._texts.get(encoded.base, b""))
+        table = Table(timetable.read(msgspec.json.decode(text)))
+        if table.ver != encoded.ver:
+            raise Bad(f"version {encoded.ver} calls itself {table.ver}")
+        kept = {self.ver, table.ver, *self.junction.held}
+        self._texts = {ver: each for ver, each in self._texts.items() if ver in kept}
+        self._texts[table.ver] = text
+        return table
+
     def _take(self, news: talk.News, sent: int) -> None:
         self.host.clock.now_us = max(self.host.clock.now_us, now_us())
         held = self.junction.held
         if news.conf is not None and news.ver > self.ver:
-            self._act(Table(timetable.read(msgspec.json.decode(news.conf))))
+            self._act(self._table(news.conf))
         elif news.ver in held:
             self._act(held[news.ver])
         elif news.ver > self.ver:
             held.clear()  # what is in force was never held here: ask for it
-        for ver, conf in news.staged.items():
-            if ver > self.ver:
-                self.junction.hold(Table(timetable.read(msgspec.json.decode(conf))), ver in news.merged)
+        for ver, encoded in news.staged.items():
+            if ver > self.ver and ver not in self.junction.held:
+                self.junction.hold(self._table(encoded), ver in news.merged)
+        self._lost_base = False
         if news.servers or news.whole:
             whole = news.whole and news.settled
             if whole:
--- /dev/null
+++ b/lapisgrade/railway/consensus/replication_state.py
@@ -0,0 +1,15 @@
+"""What a leader holds of each other node."""
+
+from dataclasses import dataclass
+
+from lapisgrade.railway.consensus.membership import Peer
+from lapisgrade.railway.consensus.snapshots import Transfer
+
+
+@dataclass(slots=True)
+class Follower(Peer):
+    next: int = 1  # the entry that it is sent next
+    sent: int = 0  # the last entry that was sent
+    sent_us: int = 0  # when entries were sent
+    acked_us: int = 0  # the leader's own time of the newest message that was answered
+    transfer: Transfer | None = None  # a snapshot that is under way to it
--- /dev/null
+++ b/lapisgrade/railway/consensus/state.py
@@ -0,0 +1,138 @@
+"""What one node of the group holds, and the few steps that its parts share."""
+
+from enum import Enum
+from random import Random
+
+from lapisgrade.railway.consensus.log import ReplicatedLog
+from lapisgrade.railway.consensus.messages import AppendEntries, Entry, Message
+from lapisgrade.railway.consensus.records import (
+    DurableWrite,
+    Effects,
+    EntriesRecord,
+    HardState,
+    Record,
+    SnapshotRecord,
+)
+from lapisgrade.railway.consensus.replication_state import Follower
+from lapisgrade.railway.consensus.snapshots import Assembly
+
+HEARTBEAT = 100_000  # us between a leader's messages; some round trips between zones
+ELECTION = 400_000  # us without a leader after which a node stands, at the least; several heartbeats
+ELECTION_SPREAD = 300_000  # us more, by chance, so that two seldom stand together
+LEASE = 300_000  # us that a majority's replies hold; below ELECTION, as followers wait at least that long
+QUIET = (
+    330_000  # us after its process's start in which a node may have confirmed a lease; above LEASE by drift
+)
+START = 20_000  # us between attempts of a node that has just started, at the least; a few round trips
+START_SPREAD = 60_000  # us more, by chance
+
+
+class Role(Enum):
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class NodeState:
+    """Shared by the parts of a node. `voted` is the vote in `term`."""
+
+    def __init__(
+        self,
+        identity: str,
+        address: str,
+        random: Random,
+        now_us: int,
+        voters: dict[str, str] | None = None,
+    ) -> None:
+        """`voters` are the first ones of all, where the whole system starts for the first time."""
+        self.identity, self.address, self.random, self.now = identity, address, random, now_us
+        self.term, self.voted = 0, ""
+        self.log = ReplicatedLog(voters or {})
+        self.commit = 0  # the last entry that is known to be committed
+        self.durable = 0  # the last entry that is surely on this disk
+        self.agreed = 0  # the last entry that is known to be the leader's too
+        self.role, self.leader, self.leader_address = Role.FOLLOWER, "", ""
+        self.followers: dict[str, Follower] = {}
+        self.effects = Effects()
+        self.stopped = False  # shuts down in order: never stands again
+        self._votes: set[str] = set()
+        self._idle: set[str] = set()  # of `_votes`: those that neither lead nor stand
+        self._unanimous_only: set[str] = set()  # of `_votes`: those that count only if all grant
+        self._round = 0
+        self._heard_leader_us = -ELECTION
+        self._quiet_until = now_us
+        self._election_at = now_us + ELECTION // 2 + random.randrange(ELECTION_SPREAD)
+        self._heartbeat_at = 0
+        self._first_index = 0  # of the entries of this node's own term as leader
+        self._unanswered: AppendEntries | None = None  # answered again once more is on disk
+        self._leaving: set[str] = set()
+        self._assembly = Assembly()
+
+    @property
+    def voters(self) -> dict[str, str]:
+        return self.log.voters
+
+    @property
+    def leads(self) -> bool:
+        return self.role is Role.LEADER
+
+    def snapshot_record(self) -> SnapshotRecord:
+        """All of this node, as the first record of a new generation."""
+        log = self.log
+        return SnapshotRecord(
+            self.identity,
+            self.term,
+            self.voted,
+            log.base,
+            log.base_term,
+            log.base_voters,
+            log.state,
+            list(log.entries),
+            self.commit,
+        )
+
+    def _send(self, address: str, message: Message) -> None:
+        self.effects.sends.append((address, message))
+
+    def _write(self, records: list[Record], then: list[tuple[str, Message]] | None = None) -> None:
+        write = DurableWrite(records, then or [], self.log.last, self.log.last_term)
+        self.effects.writes.append(write)
+
+    def _extend(self, entries: list[Entry]) -> None:
+        self.log.append(entries)
+        self._write([EntriesRecord(entries, self.commit)])
+
+    def _postpone_election(self) -> None:
+        self._election_at = self.now + ELECTION + self.random.randrange(ELECTION_SPREAD)
+
+    def _raise_term(self, term: int) -> None:
+        if term > self.term:
+            self.term, self.voted = term, ""
+            self._write([HardState(term, "")])
+
+    def _follow(self, term: int, leader: str = "", address: str = "") -> None:
+        """Be a follower in that term."""
+        self._raise_term(term)
+        if self.role is not Role.FOLLOWER:
+            self._postpone_election()
+        self.role = Role.FOLLOWER
+        if leader != self.leader:
+            self.agreed, self._unanswered = 0, None
+        self.leader, self.leader_address = leader, address
+        self.followers = {}
+
+    def _commit_up_to(self, index: int) -> None:
+        index = min(index, self.log.last)
+        if index > self.commit:
+            self.effects.commits += self.log.between(self.commit, index)
+            self.commit = index
+
+    def _quorum_us(self) -> int:
+        """The leader's own time of the newest message that a majority of the voters has answered."""
+        times = [self.followers[name].acked_us for name in self.voters if name in self.followers]
+        if self.identity in self.voters:
+            times.append(self.now)
+        times.sort(reverse=True)
+        need = len(self.voters) // 2
+        return times[need] if need < len(times) else -ELECTION
--- a/lapisgrade/railway/inventory.py
+++ b/lapisgrade/railway/inventory.py
@@ -11,12 +11,25 @@
 from lapisgrade.railway.depot import Damaged, Depot
 from lapisgrade.railway.marshal.waybills import told
 from lapisgrade.railway.settings import Bad
-from lapisgrade.railway.signalbox import core
-from lapisgrade.railway.signalbox.ledger import Bill, Cast, Change, Close, Force, Item, Ledger, Roll, Word
+from lapisgrade.railway.consensus.log import ReplicatedLog
+from lapisgrade.railway.consensus.messages import Entry
+from lapisgrade.railway.consensus.records import EntriesRecord, HardState, Record, SnapshotRecord
+from lapisgrade.railway.signalbox.ledger import (
+    Bill,
+    Cast,
+    Change,
+    Close,
+    Force,
+    Item,
+    Ledger,
+    NewVersion,
+    Roll,
+    Word,
+)
 from lapisgrade.railway.signalbox.pigeonholes import read_kept
 from lapisgrade.railway.wheeltapper import changed
 
-_RECORD = msgspec.msgpack.Decoder(core.Record)
+_RECORD = msgspec.msgpack.Decoder(Record)
 _ITEM = msgspec.msgpack.Decoder(Item)
 
 
@@ -31,18 +44,20 @@
             records = [_RECORD.decode(each) for each in depot.recover()]
         except (Damaged, OSError, msgspec.MsgspecError) as wrong:
             raise Bad(f"{folder}: {wrong}") from None
-        if not records or not isinstance(records[0], core.Whole):
+        if not records or not isinstance(records[0], SnapshotRecord):
             raise Bad(f"{folder}: no whole generation is there")
         self.generation, self.records = depot.generation, len(records)
-        first: core.Whole = records[0]
+        first: SnapshotRecord = records[0]
         self.identity, self.term, self.base = first.identity, first.term, first.base
-        self.voters, entries = first.voters, list(first.entries)
+        self.voters, replicated = first.voters, ReplicatedLog(first.voters)
+        replicated.install(first.base, first.base_term, first.voters, first.state)
+        replicated.append(first.entries)
         for record in records[1:]:
-            if isinstance(record, core.Hard):
+            if isinstance(record, HardState):
                 self.term = record.term
-            elif isinstance(record, core.Tail) and record.entries:
-                del entries[record.entries[0].index - self.base - 1 :]
-                entries += record.entries
+            elif isinstance(record, EntriesRecord):
+                replicated.append(record.entries)
+        entries = replicated.entries
         self.entries = len(entries)
         self.ledger = Ledger()
         if first.state:
@@ -57,19 +72,21 @@
                 self._take(entry)
         self.drafts = read_kept(folder)
 
-    def _tell(self, entry: core.Entry, what: str) -> None:
+    def _tell(self, entry: Entry, what: str) -> None:
         self.history.append(f"entry {entry.index}, term {entry.term}: {what}")
 
-    def _take(self, entry: core.Entry) -> None:
+    def _take(self, entry: Entry) -> None:
         """Take an entry over, and keep what it did for people: keys and addresses are not shown."""
         item, state = _ITEM.decode(entry.data), self.ledger.state
         ver, conf = state.ver, state.conf
         answer = self.ledger.take(entry.index, entry.data)
         match item:
-            case Change() if answer.status != 200:
+            case Change() | NewVersion() if answer.status != 200:
                 self._tell(entry, f"a change was refused: {answer.status} {answer.wrong}".rstrip())
             case Change():
                 self._tell(entry, f"version {state.ver} on {ver} was " + ("put" if item.whole else "updated"))
+            case NewVersion():
+                self._tell(entry, f"version {state.ver} on {ver} was accepted")
             case Bill(draft=draft):
                 made = f"merged as version {state.ver}" if state.ver != ver else "nothing of it stands"
                 self._tell(entry, f"draft {draft.id} by {draft.by}: {made}")
--- a/lapisgrade/railway/points.py
+++ b/lapisgrade/railway/points.py
@@ -17,6 +17,7 @@
         self.boxes: list[str] = []
         self.leader = ""  # the box that answered us last
         self.direct_at = 0  # when it did
+        self.term = 0  # the newest that a leader answered in: nothing of an earlier one is taken
         self.fails = 0  # questions in a row that nobody answered who leads or knows who does
         self._place, self._hint = "", ""
         self._through: int | None = None  # since when another carrier is asked
@@ -37,13 +38,14 @@
 
     def answered(self, now_us: int, news: talk.News | None) -> bool:
         """What came of the last question, None for nothing; whether it was news from who leads."""
+        if news is not None and news.leads and _term(news) < self.term:
+            news = None  # a leader that was cut off, and does not know that it is none any more
         if news is not None and news.leads:
-            self.fails = 0
+            self.fails, self.term = 0, _term(news)
             self._told(news)
             if self._through is None:
                 self.leader, self.direct_at, self._hint = self._place, now_us, ""
-                term = news.life.rstrip("+")
-                self._views.leads(Way(int(term) if term.isdecimal() else 0, self._place, self.boxes))
+                self._views.leads(Way(self.term, self._place, self.boxes))
             elif now_us - self._through > DIRECT:
                 self._place = ""  # the boxes may be there again
             return True
@@ -60,3 +62,9 @@
 
     def _told(self, news: talk.News) -> None:
         self.boxes = [each for each in news.boxes[:MOST_BOXES] if sound(each)] or self.boxes
+
+
+def _term(news: talk.News) -> int:
+    """The leader's term, in which its register's life is told."""
+    term = news.life.rstrip("+")
+    return int(term) if term.isdecimal() else 0
--- a/lapisgrade/railway/signalbox/host.py
+++ b/lapisgrade/railway/signalbox/host.py
@@ -6,19 +6,24 @@
 import os
 import time
 from collections import Counter
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from random import Random
 
 import msgspec
 
 from lapisgrade.net.http import Message as Http
-from lapisgrade.railway import SECOND, calls, talk, timetable
+from lapisgrade.railway import SECOND, STARTED_US, calls, talk, timetable
+from lapisgrade.railway.consensus.membership import FEWEST
+from lapisgrade.railway.consensus.messages import Entry, JoinRequest, LeaveRequest
+from lapisgrade.railway.consensus.messages import Message as ConsensusMessage
+from lapisgrade.railway.consensus.node import Node
+from lapisgrade.railway.consensus.records import DurableWrite, Effects, Record
 from lapisgrade.railway.depot import Damaged, Depot
 from lapisgrade.railway.halt import Halt
 from lapisgrade.railway.settings import Address, Bad, Settings, address
 from lapisgrade.railway.marshal import waybills
 from lapisgrade.railway.marshal.waybills import Draft
-from lapisgrade.railway.signalbox import core
 from lapisgrade.railway.signalbox.ledger import (
     MOST_DRAFT,
     Answer,
@@ -30,21 +35,22 @@
     Word,
     encoded,
 )
+from lapisgrade.railway.signalbox.log_writer import LogWriter
 from lapisgrade.railway.signalbox.pigeonholes import Full, Pigeonholes
 from lapisgrade.railway.telegraph import Telegraph
 from lapisgrade.railway.wire import DIAL, Exchange
 
 log = logging.getLogger("signalbox")
 
+LEAVE = 0.6  # s that a node which shuts down waits to be taken out of the voters
 COMMIT = 0.85  # s that a caller waits for a majority; callers move on after a second of silence
 LEADER = 0.7  # s that a call waits for a leader to be there
 RELAY = 0.9  # s that a call passed on may take
 JOIN = 0.3  # s between offers of a disk that hears no leader
-RETRY = 0.3  # s after which a disk that failed is tried again
 COPY = 0.35  # s that a neighbour may take to keep a copy of a draft; a sync and the way there and back
 HAND_IN = 0.5  # s between two times that drafts kept here are offered to whoever leads
 
-_RECORD = msgspec.msgpack.Decoder(core.Record)
+_RECORD = msgspec.msgpack.Decoder(Record)
 _DRAFT = msgspec.msgpack.Decoder(Draft)
 
 
@@ -55,28 +61,29 @@
 class Box:
     """`run` until `end` is called."""
 
-    def __init__(self, settings: Settings) -> None:
-        self.settings = settings
+    def __init__(self, settings: Settings, clock: Callable[[], int] = now_us) -> None:
+        """`clock` tells the steady time in us."""
+        self.settings, self.now = settings, clock
+        self._started = STARTED_US if clock is now_us else clock()
         self.inner = settings.inner(0)
         self.counts: Counter[str] = Counter()
         self.random = Random(int.from_bytes(os.urandom(8), "big"))
         self.ledger = Ledger()
-        self.core: core.Core | None = None
+        self.node: Node | None = None
+        self._writer: LogWriter | None = None
         self.depot = Depot(settings.datadir) if settings.datadir else None
-        self.telegraph = Telegraph(int(settings.heartbeat), now_us())
+        self.telegraph = Telegraph(int(settings.heartbeat), self.now())
         self.exchange = Exchange(talk.Message, self._answer, self._word)
         self.ctl = Halt(self._called, timetable.MOST_BYTES)
         self.readyz = Halt(self._asked_ready, 4096)
         self._disk = ThreadPoolExecutor(1, "disk")
         self.holes = Pigeonholes(settings.datadir, self._disk) if settings.datadir else None
         self._handing: asyncio.Task | None = None
-        self._writes: asyncio.Queue[core.Write] = asyncio.Queue()
         self._waiting: dict[tuple[int, int], asyncio.Future] = {}  # proposals, by index and term
         self._turned = asyncio.Event()  # set, and made anew, when a carrier may have news
         self._timer: asyncio.TimerHandle | None = None
         self._end = asyncio.Event()
         self._led = False
-        self._broken = False  # the disk failed, and all is written anew before anything is appended
         self._leader_hint = ""
 
     # ---- life
@@ -86,7 +93,7 @@
         if self.depot is not None:
             records = await loop.run_in_executor(self._disk, self._recover)
             self._found(records)
-            tasks = [loop.create_task(self._write_on()), loop.create_task(self._offer())]
+            tasks = [loop.create_task(self._writer.run()), loop.create_task(self._offer())]
             await self.holes.recover()
             self._hand_in()
         else:
@@ -123,91 +130,97 @@
         self.settings = settings
 
     async def _bow_out(self) -> None:
-        """Tell the leader that this disk is not to be missed, and let the last words go out."""
-        if self.core is not None:
-            leader = self.core.leader_address if not self.core.leads else ""
-            self.core.step_down()
+        """Hand leadership over, and have the leader count on this node no more where others are enough."""
+        node = self.node
+        if node is not None:
+            node.step_down()
             self._step()
-            if leader:
-                self._post(leader, core.Leave(self.core.me))
-        await asyncio.sleep(0.15)
-
-    def _recover(self) -> list[core.Record]:
+            ends = self.now() + int(LEAVE * SECOND)
+            while len(node.voters) > FEWEST and node.identity in node.voters and self.now() < ends:
+                if node.leader_address:
+                    self._post(node.leader_address, LeaveRequest(node.identity))
+                await asyncio.sleep(LEAVE / 12)
+        await asyncio.sleep(0.15)  # the last messages go out
+
+    def _recover(self) -> list[Record]:
         try:
             return [_RECORD.decode(each) for each in self.depot.recover()]
         except (Damaged, OSError, msgspec.MsgspecError) as wrong:
             log.warning("the disk can't be read and counts as empty: %s", wrong)
             return []
 
-    def _found(self, records: list[core.Record]) -> None:
-        now = now_us()
+    def _found(self, records: list[Record]) -> None:
+        """Begin as the node that the disk tells, or as a new one."""
+        now = self.now()
         if records:
-            self.core = core.Core.recovered(records, str(self.inner), self.random, now)
-            log.info(
-                "recovered term %d, %d entries after %d", self.core.term, len(self.core.log), self.core.base
-            )
+            self.node = Node.recovered(records, str(self.inner), self.random, now, self._started)
+            entries = len(self.node.log.entries)
+            log.info("recovered term %d, %d entries after %d", self.node.term, entries, self.node.log.base)
         else:
             # The first disks of all are named by their place, so that each knows the others'.
             first = {f"first-{each[0]}": f"{each[0]}:{self.inner[1]}" for each in self.settings.peers}
             name = f"first-{self.settings.ip}"
             if not self.settings.bootstrap or name not in first:
                 name, first = f"disk-{self.random.getrandbits(64):016x}", {}
-            self.core = core.Core(name, str(self.inner), self.random, now, first)
+            self.node = Node(name, str(self.inner), self.random, now, first)
             log.info("an empty disk, named %s", name)
-        self._broken = True  # nothing is appended before a generation of our own has begun
-        self._writes.put_nowait(
-            core.Write([self.core.whole()], [], self.core.last, self.core.term_at(self.core.last))
-        )
+        self._writer = LogWriter(self.node, self.depot, self._disk, self.counts, self._written)
 
-    # ---- the core's wishes
+    # ---- the node's effects
 
     def _step(self) -> None:
-        """Carry out what the core has left, and wake it in time."""
-        one = self.core
-        if one is None:
-            return
-        while True:
-            out, one.out = one.out, core.Out()
-            if out.restore is not None and out.restore:
-                self.ledger.load(out.restore)
-                self._applied()
-            for entry in out.commits:
-                self._commit(entry)
-            for write in out.writes:
-                self._writes.put_nowait(write)
-            own = []
-            for to, message in out.sends:
-                own.append(message) if to == one.address else self._post(to, message)
-            if not own:
-                break
-            for message in own:
-                one.heard(now_us(), message)
-        if one.long:
-            one.compact(self.ledger.dump())
-            self._step()
+        """Carry out the node's effects, and wake it in time."""
+        node = self.node
+        if node is None:
             return
-        # Not before the log of earlier terms is taken over: a box that was started anew has an empty state
-        # until then, and a cast begun from that would leave out carriers that still act.
-        if one.established != self._led:
-            self._led = one.established
-            log.info("term %d: %s", one.term, "leads" if self._led else "follows")
-            self.counts["elections won"] += self._led
-            if self._led:
-                self.telegraph.lead(now_us(), one.term, self.ledger.state)
-            else:
-                self._give_up()
-            self._turn()
+        while self._carry_out(node):
+            pass
+        if node.needs_compaction:
+            node.compact(self.ledger.dump())
+            self._carry_out(node)
+        self._follow_leadership(node)
         if self._timer is not None:
             self._timer.cancel()
-        wait = max(0.0005, (one.wakes_us - now_us()) / SECOND)
+        wait = max(0.0005, (node.wakes_us - self.now()) / SECOND)
         self._timer = asyncio.get_running_loop().call_later(wait, self._due)
 
+    def _carry_out(self, node: Node) -> bool:
+        """Whether the node said something to itself, which may have had effects of its own."""
+        effects, node.effects = node.effects, Effects()
+        if effects.restore is not None:
+            self.ledger.load(effects.restore)
+            self._applied()
+        for entry in effects.commits:
+            self._commit(entry)
+        for write in effects.writes:
+            self._writer.put(write)
+        own = []
+        for to, message in effects.sends:
+            own.append(message) if to == node.address else self._post(to, message)
+        for message in own:
+            node.receive(self.now(), message)
+        return bool(own)
+
+    def _follow_leadership(self, node: Node) -> None:
+        # Not before the log of earlier terms is applied: a node that was started anew has an empty state
+        # until then, and a cast begun from that would leave out carriers that still act.
+        if node.established == self._led:
+            return
+        self._led = node.established
+        log.info("term %d: %s", node.term, "leads" if self._led else "follows")
+        self.counts["elections won"] += self._led
+        if self._led:
+            self.telegraph.lead(self.now(), node.term, self.ledger.state)
+        else:
+            self._give_up()
+        self._turn()
+
     def _due(self) -> None:
-        self.core.due(now_us())
-        if self._led and self.telegraph.due(now_us()):
+        self.node.tick(self.now())
+        if self._led and self.telegraph.due(self.now()):
             self._turn()
         if self._leads():
-            now, state = now_us(), self.ledger.state
+            now, state = self.now(), self.ledger.state
             self._order(
                 self.telegraph.force(now, state),
                 self.telegraph.cast(now, state),
@@ -220,7 +233,7 @@
         for item in items:
             if item is not None:
                 self.counts[f"entries of {type(item).__name__.lower()}"] += 1
-                self.core.propose(encoded(item))
+                self.node.propose(encoded(item))
 
     async def _look(self, name: str, place: str) -> None:
         """A carrier was refused where another one lives: its process is gone if we are refused too."""
@@ -234,13 +247,13 @@
         except (OSError, TimeoutError, ValueError):
             pass
 
-    def _post(self, to: str, message: core.Message) -> None:
+    def _post(self, to: str, message: ConsensusMessage) -> None:
         try:
             self.exchange.post(address(to), message)
         except ValueError:
             self.counts["addresses refused"] += 1
 
-    def _commit(self, entry: core.Entry) -> None:
+    def _commit(self, entry: Entry) -> None:
         if entry.voters is not None:
             self.counts["changes of voters"] += 1
             log.info("voters: %s", sorted(entry.voters.values()))
@@ -255,7 +268,7 @@
 
     def _applied(self) -> None:
         if self._led:
-            self.telegraph.leaves(now_us(), self.ledger.state.left)
+            self.telegraph.leaves(self.now(), self.ledger.state.left)
         self._turn()
 
     def _turn(self) -> None:
@@ -271,7 +284,7 @@
 
     async def _propose(self, data: bytes) -> Answer | None:
         """The log's word on a change; None where there is none yet, and it may come into force."""
-        place = self.core.propose(data)
+        place = self.node.propose(data)
         if place is None:
             return None
         future = asyncio.get_running_loop().create_future()
@@ -285,61 +298,35 @@
         finally:
             self._waiting.pop(place, None)
 
-    async def _write_on(self) -> None:
-        """One write after another; several that wait go to the disk together."""
-        loop = asyncio.get_running_loop()
-        while True:
-            writes = [await self._writes.get()]
-            while not self._writes.empty():
-                writes.append(self._writes.get_nowait())
-            while True:
-                wholes = [i for i, each in enumerate(writes) if isinstance(each.records[0], core.Whole)]
-                one = self.core
-                try:
-                    if self._broken or wholes:
-                        upto, term = one.last, one.term_at(one.last)
-                        data = msgspec.msgpack.encode(one.whole())
-                        # What still waits in the queue is in this already, and is written twice at worst.
-                        await loop.run_in_executor(self._disk, self.depot.renew, data)
-                        self._broken = False
-                    else:
-                        upto, term = writes[-1].upto, writes[-1].upto_term
-                        data = [msgspec.msgpack.encode(record) for each in writes for record in each.records]
-                        await loop.run_in_executor(self._disk, self.depot.append, data)
-                    break
-                except OSError as wrong:
-                    if not self._broken:
-                        log.warning("the disk refuses: %s", wrong)
-                    self._broken = True
-                    self.counts["writes refused"] += 1
-                    await asyncio.sleep(RETRY)
-            self.counts["syncs"] += 1
-            one.wrote(now_us(), upto, term)
-            for write in writes:
-                for to, message in write.then:
-                    if to == one.address:
-                        one.heard(now_us(), message)
-                    else:
-                        self._post(to, message)
-            self._step()
+    def _written(self, writes: list[DurableWrite], last_index: int, last_term: int) -> None:
+        """Those are on disk: what waited for them may be said."""
+        node = self.node
+        node.written(self.now(), last_index, last_term)
+        for write in writes:
+            for to, message in write.then:
+                if to == node.address:
+                    node.receive(self.now(), message)
+                else:
+                    self._post(to, message)
+        self._step()
 
     async def _offer(self) -> None:
         """Offer this disk to whoever leads, while no leader is heard."""
         while True:
             await asyncio.sleep(JOIN * (0.5 + self.random.random()))
-            one = self.core
-            quiet = not one.leads and (not one.leader or one.me not in one.voters)
-            if quiet and not one.ended:
+            one = self.node
+            quiet = not one.leads and (not one.leader or one.identity not in one.voters)
+            if quiet and not one.stopped:
                 places = {f"{each[0]}:{self.inner[1]}" for each in self.settings.peers}
                 places |= set(one.voters.values()) | ({one.leader_address} if one.leader_address else set())
                 for place in places - {one.address, ""}:
-                    self._post(place, core.Join(one.me, one.address))
+                    self._post(place, JoinRequest(one.identity, one.address))
 
     # ---- what others say
 
     def _word(self, message: talk.Message) -> None:
-        if self.core is not None and isinstance(message, core.Message):
-            self.core.heard(now_us(), message)
+        if self.node is not None and isinstance(message, ConsensusMessage):
+            self.node.receive(self.now(), message)
             self._step()
 
     async def _answer(self, message: talk.Message) -> talk.Message | None:
@@ -354,13 +341,13 @@
         return None
 
     def _leads(self) -> bool:
-        if self.core is not None:
-            self.core.now = max(self.core.now, now_us())
-        return self._led and self.core.leased()
+        if self.node is not None:
+            self.node.now = max(self.node.now, self.now())
+        return self._led and self.node.has_lease()
 
     def _boxes(self) -> list[str]:
         """Where questions of carriers are answered."""
-        return sorted(set(self.core.voters.values())) if self.core is not None else []
+        return sorted(set(self.node.voters.values())) if self.node is not None else []
 
     async def _news(self, ask: talk.Ask) -> talk.News:
         """Answer a carrier when there is news, or after a while with none."""
@@ -369,17 +356,17 @@
             known = self.telegraph.carriers.get(name)
             if known is not None and self._leads():
                 asyncio.get_running_loop().create_task(self._look(name, known.address))
-        ends = now_us() + self.telegraph.HOLD
+        ends = self.now() + self.telegraph.HOLD
         while True:
             if not self._leads():
-                leader = self.core.leader_address if self.core is not None else self._leader_hint
+                leader = self.node.leader_address if self.node is not None else self._leader_hint
                 return talk.News(False, leader if leader != str(self.inner) else "", self._boxes())
-            news = self.telegraph.news(now_us(), ask, self.ledger.state, self._boxes())
-            force = self.telegraph.force(now_us(), self.ledger.state)
+            news = self.telegraph.news(self.now(), ask, self.ledger.state, self._boxes())
+            force = self.telegraph.force(self.now(), self.ledger.state)
             if force is not None:
                 self._order(force)
                 self._step()
-            wait = (ends - now_us()) / SECOND
+            wait = (ends - self.now()) / SECOND
             if news is not None or wait <= 0:
                 return news or self.telegraph.quiet(ask, self.ledger.state, self._boxes())
             ask = self.telegraph.noted(ask)
@@ -415,19 +402,19 @@
 
     async def _pass(self, call: str, of: str, body: bytes) -> talk.Relayed:
         """Have the leader answer, here or elsewhere, as soon as there is one."""
-        loop, ends = asyncio.get_running_loop(), now_us() + int(LEADER * SECOND)
+        loop, ends = asyncio.get_running_loop(), self.now() + int(LEADER * SECOND)
         while True:
             if self._leads():
                 return await self._lead(call, of, body)
-            leader = self.core.leader_address if self.core is not None else self._leader_hint
+            leader = self.node.leader_address if self.node is not None else self._leader_hint
             if leader and leader != str(self.inner):
                 got = await self.exchange.call(address(leader), talk.Relay(call, of, body), RELAY)
                 answer = got.value_or(None)
                 if isinstance(answer, talk.Relayed) and answer.status != 503:
                     return answer
-            if self.core is None:
+            if self.node is None:
                 await self._find(loop)
-            if now_us() > ends:
+            if self.now() > ends:
                 return talk.Relayed(503, b'{"Err":"no leader is known"}')
             await asyncio.sleep(0.03)
 
@@ -455,7 +442,7 @@
                         else talk.Relayed(404, b'{"Err":"there is no configuration yet"}')
                     )
                 case "conf.status":
-                    status = self.telegraph.status(now_us(), self.ledger.state)
+                    status = self.telegraph.status(self.now(), self.ledger.state)
                     return talk.Relayed(200, msgspec.json.encode({**status, **self._voters()}))
                 case "conf.drafts":
                     bills = [waybills.told(*each) for each in self.ledger.bills().values()]
@@ -480,25 +467,26 @@
             answer = await self._log(Word(of, False))
             if answer.status != 200:
                 return answer
-        if self.telegraph.beat(now_us(), server):
+        if self.telegraph.beat(self.now(), server):
             self._turn()
         return talk.Relayed(200, b"{}")
 
     def _voters(self) -> dict:
         """For operators: who leads, and the disks that a majority is counted of."""
-        one, now = self.core, now_us()
-        heard = {name: each.heard_us for name, each in one.followers.items()}
+        node, now = self.node, self.now()
+        heard = {name: each.heard_us for name, each in node.followers.items()}
+        heard[node.identity] = now
         voters = [
-            {"Id": name, "At": place, "HeardMs": 0 if name == one.me else (now - heard.get(name, 0)) // 1000}
-            for name, place in sorted(one.voters.items())
+            {"Id": name, "At": place, "HeardMs": (now - heard.get(name, 0)) // 1000}
+            for name, place in sorted(node.voters.items())
         ]
-        return {"Leader": str(self.inner), "Term": one.term, "Voters": voters}
+        return {"Leader": str(self.inner), "Term": node.term, "Voters": voters}
 
     async def _change(self, change: Change) -> talk.Relayed:
-        answer, _ = self.ledger.judge(change)
-        if answer.status != 200:  # it needs no place in the log
+        answer, version = self.ledger.accepted(change)
+        if version is None:  # refused, or taken before: it needs no place in the log
             return said(answer)
-        return await self._log(change)
+        return await self._log(version)
 
     # ---- drafts: edits made where no leader is
 
@@ -590,7 +578,7 @@
         answer = await self._change(Change(True, msgspec.json.encode(body)))
         return await self._log(Close(name)) if answer.status == 200 else answer
 
-    async def _log(self, item: Change | Word | Bill | Close) -> talk.Relayed:
+    async def _log(self, item: Item) -> talk.Relayed:
         answer = await self._propose(encoded(item))
         if answer is None:
             return talk.Relayed(504, b'{"Err":"no majority has it yet; it may come into force"}')
--- a/lapisgrade/railway/signalbox/ledger.py
+++ b/lapisgrade/railway/signalbox/ledger.py
@@ -5,18 +5,19 @@
 import msgspec
 
 from lapisgrade.railway import timetable
+from lapisgrade.railway.configuration_delta import EncodedVersion, decode, encode
 from lapisgrade.railway.marshal import waybills
 from lapisgrade.railway.marshal.fields import fields
 from lapisgrade.railway.marshal.waybills import Draft, Outcome
 from lapisgrade.railway.settings import Bad
 from lapisgrade.railway.yard import Server
 
-MOST_TAKEN = 64  # versions whose changes are remembered, to know one that is sent again
+MOST_TAKEN = 4096  # versions whose changes are remembered, to know one that is sent again; days of changes
 MOST_STAGED = 8  # versions that wait to come into force; each waits 1.4 s at most
 MOST_DRAFTS = 16  # merged since the last acknowledged change, or with something open; bounds the state
 MOST_DRAFT = 128 * 1024  # bytes of one, as it stands in the log
 MOST_SEEN = 512  # drafts that are known again when a copy of one comes late
-MOST_LEFT = 2048  # servers that left or drain; more than a deployment's in hours
+MOST_LEFT = 16_384  # servers that left or drain; more than a deployment has at once
 
 
 class Change(msgspec.Struct, array_like=True, tag="c", frozen=True):
@@ -25,6 +26,19 @@
     whole: bool
     body: bytes
 
+    @property
+    def digest(self) -> bytes:
+        """Of its meaning; msgspec.DecodeError where it has none."""
+        return timetable.digest(self.body) + (b"w" if self.whole else b"u")
+
+
+class NewVersion(msgspec.Struct, array_like=True, tag="v", frozen=True):
+    """A change that was judged proper on a version: what it makes of that, for all to apply alike without
+    judging it again."""
+
+    change: bytes  # digest of what the operator sent
+    encoded: EncodedVersion
+
 
 class Word(msgspec.Struct, array_like=True, tag="w", frozen=True):
     """A server's word that it drains, or that it is gone."""
@@ -66,7 +80,7 @@
     id: str
 
 
-Item = Change | Word | Cast | Roll | Force | Bill | Close
+Item = Change | NewVersion | Word | Cast | Roll | Force | Bill | Close
 
 
 class Answer(msgspec.Struct, array_like=True, frozen=True):
@@ -98,10 +112,23 @@
     seen: list[str] = []  # all that came lately
     merged: list[int] = []  # of `staged`: versions that drafts made
     prior: int = 0  # the fence of the cast before
+    forgotten: int = 0  # up to which version changes are not remembered any more
+
+
+class SavedState(msgspec.Struct, array_like=True):
+    """A snapshot: the state without its versions' texts, the newest text, and the others as deltas on it."""
+
+    state: State
+    conf: bytes
+    acting: EncodedVersion
+    ground: EncodedVersion
+    staged: dict[int, EncodedVersion]
 
 
 _ITEM = msgspec.msgpack.Decoder(Item)
 _STATE = msgspec.msgpack.Decoder(State)
+_SAVED = msgspec.msgpack.Decoder(SavedState)
+_MAPS = (*range(0x80, 0x90), 0xDE, 0xDF)  # first bytes of a map in MessagePack: a state as it was saved once
 
 
 def encoded(item: Item) -> bytes:
@@ -115,10 +142,28 @@
         self.state = State()
 
     def dump(self) -> bytes:
-        return msgspec.msgpack.encode(self.state)
+        """The state as a snapshot."""
+        state = self.state
+
+        def saved(text: bytes) -> EncodedVersion:
+            return encode(state.ver, text, state.ver, state.conf)
+
+        bare = msgspec.structs.replace(state, conf=b"", acting=b"", ground=b"", staged={})
+        staged = {ver: saved(text) for ver, text in state.staged.items()}
+        return msgspec.msgpack.encode(
+            SavedState(bare, state.conf, saved(state.acting), saved(state.ground), staged)
+        )
 
     def load(self, data: bytes) -> None:
-        self.state = _STATE.decode(data)
+        """Take a snapshot over; none at all where it is empty."""
+        if not data or data[0] in _MAPS:
+            self.state = _STATE.decode(data) if data else State()
+            return
+        saved = _SAVED.decode(data)
+        self.state = state = saved.state
+        state.conf = saved.conf
+        state.acting, state.ground = decode(saved.acting, saved.conf), decode(saved.ground, saved.conf)
+        state.staged = {ver: decode(each, saved.conf) for ver, each in saved.staged.items()}
 
     def take(self, index: int, data: bytes) -> Answer:
         """Take one entry of the log over."""
@@ -147,16 +192,40 @@
             return self._bill(item.draft)
         if isinstance(item, Close):
             return self._close(item.id)
+        if isinstance(item, NewVersion):
+            return self._accept(item)
         answer, made = self.judge(item)
         if made is not None:
-            state = self.state
-            self._leave_drafts()
-            self._stage(*made)
-            state.taken[state.ver] = timetable.digest(item.body)
-            while len(state.taken) > MOST_TAKEN:
-                del state.taken[next(iter(state.taken))]
+            self._take_over(*made, item.digest)
         return answer
 
+    def accepted(self, change: Change) -> tuple[Answer, NewVersion | None]:
+        """What a change would be answered now, and where it is proper what to put into the log for it."""
+        answer, made = self.judge(change)
+        if made is None:
+            return answer, None
+        text, ver = made
+        state = self.state
+        return answer, NewVersion(change.digest, encode(ver, text, state.ver, state.conf))
+
+    def _accept(self, item: NewVersion) -> Answer:
+        state, encoded = self.state, item.encoded
+        if state.taken.get(encoded.ver) == item.change:
+            return Answer(200)  # the same change again
+        if encoded.base != state.ver:
+            return Answer(412, f"version {state.ver} is in force, not {encoded.base}")
+        self._take_over(decode(encoded, state.conf), encoded.ver, item.change)
+        return Answer(200)
+
+    def _take_over(self, text: bytes, ver: int, change: bytes) -> None:
+        state = self.state
+        self._leave_drafts()
+        self._stage(text, ver)
+        state.taken[ver] = change
+        while len(state.taken) > MOST_TAKEN:
+            state.forgotten = next(iter(state.taken))
+            del state.taken[state.forgotten]
+
     def _stage(self, conf: bytes, ver: int) -> None:
         state = self.state
         state.conf, state.ver = conf, ver
@@ -231,8 +300,10 @@
         state, ver, base = self.state, raw.get("Ver"), raw.get("Base", 0)
         if type(ver) is not int or type(base) is not int:
             return Answer(400, "Ver and Base are whole numbers"), None
-        if ver in state.taken and state.taken[ver] == timetable.digest(change.body):
+        if ver in state.taken and state.taken[ver] == change.digest:
             return Answer(200), None  # the same change again
+        if 0 < ver <= state.forgotten:
+            return Answer(504, f"whether version {ver} was this change is not known any more"), None
         if ver <= state.ver:
             status = 412 if base != state.ver else 400
             return Answer(status, f"version {ver} is not above {state.ver}, which is in force"), None
--- a/lapisgrade/railway/talk.py
+++ b/lapisgrade/railway/talk.py
@@ -3,7 +3,8 @@
 import msgspec
 
 from lapisgrade.railway.marshal.waybills import Draft
-from lapisgrade.railway.signalbox import core
+from lapisgrade.railway.configuration_delta import EncodedVersion
+from lapisgrade.railway.consensus.messages import Message as ConsensusMessage
 from lapisgrade.railway.yard import Server
 
 
@@ -36,6 +37,7 @@
     refused: list[str] = []  # carriers whose machine says that nobody listens there
     held: int = 0  # the newest version that it holds ready, in force or not
     core: bool = False  # whether a box stands beside it
+    whole: bool = False  # whether a delta on what it holds could not be read
 
 
 class News(msgspec.Struct, array_like=True, tag="n", frozen=True):
@@ -43,7 +45,7 @@
     leader: str = ""  # where else to ask
     boxes: list[str] = []  # all that answer such questions
     ver: int = 0  # in force
-    conf: bytes | None = None  # that, where the carrier lacks it
+    conf: EncodedVersion | None = None  # that, where the carrier lacks it
     life: str = ""
     turn: int = 0
     settled: bool = False  # whether a whole register is all there is
@@ -52,7 +54,9 @@
     fence: int = 0
     cast: dict[str, tuple[str, str, str]] | None = None  # who lives: address, life and zone of each
     wants_known: bool = False
-    staged: dict[int, bytes] = {}  # newer ones that the carrier lacks, to be held ready until the order comes
+    staged: dict[
+        int, EncodedVersion
+    ] = {}  # newer ones that the carrier lacks, to be held ready until the order comes
     merged: list[int] = []  # those of them that drafts made: a fence for what may run once
     core: list[str] = []  # those of the cast beside whom a box stands
     prior: int = 0  # the fence of the cast before
@@ -100,4 +104,4 @@
     kept: bool
 
 
-Message = core.Message | Relay | Relayed | Ask | News | Take | Taken | Loads | Hand | Handed
+Message = ConsensusMessage | Relay | Relayed | Ask | News | Take | Taken | Loads | Hand | Handed
--- a/lapisgrade/railway/telegraph.py
+++ b/lapisgrade/railway/telegraph.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from lapisgrade.railway import talk
+from lapisgrade.railway.configuration_feed import ConfigurationFeed
 from lapisgrade.railway.signalbox.ledger import Cast, Force, Roll, State
 from lapisgrade.railway.yard import Server, Yard
 
@@ -48,6 +49,7 @@
         self._roll_at, self._rolled = 0, {}
         self._staged: dict[int, int] = {}  # versions that are not in force yet: since when
         self._ordered, self._ordered_at = 0, 0
+        self.feed = ConfigurationFeed()
 
     @property
     def life(self) -> str:
@@ -180,15 +182,19 @@
         # What an unsettled register told of this life holds; any other is told anew.
         other = ask.life != own and (self._settled or ask.life != f"{self.life}+")
         changed = other or self.yard.turn > ask.turn
-        stale = state.acting_ver > ask.ver or state.ver > max(ask.held, ask.ver)
+        stale = ask.whole or state.acting_ver > ask.ver or state.ver > max(ask.held, ask.ver)
         if not stale and not changed and ask.fence == state.fence:
             return None
+        held, acting = (0 if ask.whole else max(ask.held, ask.ver)), None
+        if state.acting_ver > held:
+            acting = self.feed.version(state.acting_ver, state.acting, held)
+            held = state.acting_ver
         return talk.News(
             True,
             "",
             boxes,
             state.acting_ver,
-            state.acting if state.acting_ver > max(ask.ver, ask.held) else None,
+            acting,
             own,
             self.yard.turn,
             self._settled,
@@ -197,7 +203,7 @@
             state.fence,
             state.cast if ask.fence != state.fence else None,
             wants_known=ask.life not in (self.life, f"{self.life}+"),
-            staged={ver: conf for ver, conf in state.staged.items() if ver > ask.held},
+            staged=self.feed.chain(state.staged, held),
             merged=state.merged,
             core=state.core if ask.fence != state.fence else [],
             prior=state.prior,
--- a/lapisgrade/railway/timetable.py
+++ b/lapisgrade/railway/timetable.py
@@ -17,6 +17,7 @@
 
 MOST_BYTES = 8 * 1024 * 1024  # of one configuration; far beyond what a leader's memory is asked to hold
 HEADER, IDLE = Span(3 * SECOND), Span(15 * SECOND)  # what clients may take where the configuration is silent
+MOST_REMEMBERED = 8192  # routes that were read and are not read again; all of a large configuration
 BODY, HEAD = 64 * 1024 * 1024, 16_384  # bytes, the same
 
 
@@ -129,8 +130,16 @@
 
 @functools.cache
 def converter() -> cattrs.Converter:
-    """Strict, and with `None` for a priority left out."""
-    return checker()
+    """Strict, and with `None` for a priority left out. Versions share most of their routes: one that was read
+    lately is not read again."""
+    made, plain = checker(), checker()
+
+    @functools.lru_cache(MOST_REMEMBERED)
+    def rule(text: bytes) -> Rule:
+        return plain.structure(msgspec.json.decode(text), Rule)
+
+    made.register_structure_hook(Rule, lambda raw, _: rule(msgspec.json.encode(raw)))
+    return made
 
 
 def read(raw: Any) -> Configuration:
--- a/tests/railway/test_rejoin.py
+++ b/tests/railway/test_rejoin.py
@@ -121,7 +121,7 @@
 
     async def test_a_copy_on_a_neighbour_s_disk_outlives_the_draft_s_own(self) -> None:
         site = await self.site(97)
-        while not site.boxes["m3"].core.leader:
+        while not site.boxes["m3"].node.leader:
             await asyncio.sleep(0.02)
         # Two of three on this side, but neither may lead: drafts are kept all the same.
         for box in site.boxes.values():
--- a/tests/railway/test_signalbox.py
+++ b/tests/railway/test_signalbox.py
@@ -6,7 +6,7 @@
 
 from lapisgrade.lab.explore import log
 from lapisgrade.lab.explore.line import Line
-from lapisgrade.railway.signalbox import core
+from lapisgrade.railway.consensus import node
 
 
 class Explored(unittest.TestCase):
@@ -49,7 +49,7 @@
         line.start(others[1])
         for _ in range(20):
             line.run(0.02)
-            leased = [each for each, box in line.boxes.items() if box.leads and box.leased()]
+            leased = [each for each, box in line.boxes.items() if box.leads and box.has_lease()]
             self.assertLessEqual(len(leased), 1)
 
     def test_an_empty_disk_does_not_vote_before_it_is_let_in(self):
@@ -102,13 +102,13 @@
         old = line.leader()
         line.cut = {(old, each) for each in "abc" if each != old}
         line.run(0.6)
-        self.assertFalse(line.boxes[old].leased())
+        self.assertFalse(line.boxes[old].has_lease())
         line.run(1.5)
         self.assertFalse(line.boxes[old].leads)
         self.assertNotIn(line.leader(), ("", old))
 
     def test_a_snapshot_reaches_a_box_that_lacks_the_entries(self):
-        with mock.patch.object(core, "MOST_LOG", 8):
+        with mock.patch.object(node, "MOST_LOG", 8):
             line = Line(4)
             line.run(2)
             away = next(name for name in "abc" if name != line.leader())
@@ -116,7 +116,7 @@
             for number in range(30):
                 line.propose(b"%d" % number)
                 line.run(0.02)
-            self.assertGreater(line.boxes[line.leader()].base, 8)
+            self.assertGreater(line.boxes[line.leader()].log.base, 8)
             line.start(away)
             line.run(3)
             self.assertEqual(line.boxes[away].commit, line.boxes[line.leader()].commit)
--- a/tests/railway/test_site.py
+++ b/tests/railway/test_site.py
@@ -113,13 +113,13 @@
 
     async def test_a_drain_acknowledged_outlives_the_box_that_acknowledged_it(self):
         site = await self.served(2)
-        leader = next(each for each in site.boxes.values() if each.core.leads)
+        leader = next(each for each in site.boxes.values() if each.node.leads)
         server = site.servers["i-1"]
         server.state = "drain"
         self.assertEqual(await server.beat([(leader.settings.ip, 8407)]), 200)
         await site.kill(leader)
-        await site.until(lambda: any(each.core.leads for each in site.boxes.values()))
-        after = next(each for each in site.boxes.values() if each.core.leads)
+        await site.until(lambda: any(each.node.leads for each in site.boxes.values()))
+        after = next(each for each in site.boxes.values() if each.node.leads)
         self.assertEqual(after.ledger.state.left, {"i-1": False})
         await site.until(
             lambda: all(each.register["i-1"].state == "drain" for each in site.carriers.values())
--- a/tests/railway/test_toolbox.py
+++ b/tests/railway/test_toolbox.py
@@ -22,7 +22,8 @@
 from lapisgrade.railway.marshal.waybills import drafted
 from lapisgrade.railway.settings import Address, Bad
 from lapisgrade.railway.sidings import CTL, SAMPLE, Site
-from lapisgrade.railway.signalbox import core
+from lapisgrade.railway.consensus.messages import Entry
+from lapisgrade.railway.consensus.records import EntriesRecord, HardState, Record, SnapshotRecord
 from lapisgrade.railway.signalbox.ledger import Bill, Cast, Change, Close, Force, Word, encoded
 from lapisgrade.railway.turnstile.holder import holder
 
@@ -203,11 +204,11 @@
         rule = {**SAMPLE["Ports"][0]["Policy"][1], "Prio": 9}
         prio = {"Upsert": {"Ports": [{"Vhost": "a.example", "Policy": [rule]}]}}
         draft = drafted(CONF, prio, "amel", "m1")
-        entries = [core.Entry(1, 1, b"", {"first": "10.0.0.1:7660"}), core.Entry(2, 1, change),
-                   core.Entry(3, 2, encoded(Bill(draft)))]  # fmt: skip
-        whole = core.Whole("first", 1, "first", 0, 0, {"first": "10.0.0.1:7660"}, b"", entries[:1])
+        entries = [Entry(1, 1, b"", {"first": "10.0.0.1:7660"}), Entry(2, 1, change),
+                   Entry(3, 2, encoded(Bill(draft)))]  # fmt: skip
+        whole = SnapshotRecord("first", 1, "first", 0, 0, {"first": "10.0.0.1:7660"}, b"", entries[:1])
         depot.renew(msgspec.msgpack.encode(whole))
-        records = (core.Hard(2, "first"), core.Tail(entries[1:]))
+        records = (HardState(2, "first"), EntriesRecord(entries[1:]))
         depot.append([msgspec.msgpack.encode(each) for each in records])
         depot.close()
         self.name = draft.id
@@ -230,14 +231,14 @@
 
     def test_the_history_says_what_each_entry_did_and_each_version_changed(self) -> None:
         depot = Depot(self.folder)
-        old = [msgspec.msgpack.decode(each, type=core.Record) for each in depot.recover()]
+        old = [msgspec.msgpack.decode(each, type=Record) for each in depot.recover()]
         gone = {"Del": {"Routes": ["r-stock"]}}
         late, again = ({"Ver": 4, "Base": 1, **gone}, {"Ver": 5, "Base": 2, **gone})
         items = [*(Change(False, msgspec.json.encode(each)) for each in (late, again)), Force(5)]
         items += [Word("i-1", False), Word("i-1", True)]
         items += [Cast({name: ("p", "1", "z") for name in ("m1", "m2")}), Close("nobody")]
         entries = [*old[0].entries, *old[2].entries]
-        entries += [core.Entry(4 + number, 2, encoded(each)) for number, each in enumerate(items)]
+        entries += [Entry(4 + number, 2, encoded(each)) for number, each in enumerate(items)]
         depot.renew(msgspec.msgpack.encode(msgspec.structs.replace(old[0], entries=entries)))
         depot.close()
         told = "\n".join(Inventory(self.folder).history)
