--- a/lapisgrade/cli/main.py
+++ b/lapisgrade/cli/main.py
@@ -12,6 +12,7 @@
 """
 
 import asyncio
+import logging
 import contextlib
 import csv
 import itertools
@@ -413,18 +414,22 @@
         click.echo(line)
 
 
+EXPLORED = ("control", "train", "log", "rejoin", "turnstile")
+
+
 @lab.command()
-@click.argument("what", type=click.Choice(["train", "log", "rejoin", "turnstile"]), default="train")
+@click.argument("what", type=click.Choice(EXPLORED), default="train")
 @click.option("--seeds", type=click.IntRange(1, 1_000_000), default=100, show_default=True)
 @click.option("--first", type=click.IntRange(0), default=0, show_default=True, help="the first seed")
 @click.option("--defect", default="", help="a known defect to switch on; it should be found")
 def explore(what, seeds, first, defect) -> None:
-    """Explore WHAT in simulated time: how versions come into force (train), the signal boxes' log (log),
-    drafts that are merged (rejoin), or a tenant's count among limiters (turnstile). A seed that goes wrong is
-    told with what led to it, exit 1."""
-    from lapisgrade.lab.explore import first_train, log, rejoin, turnstile
+    """Explore WHAT in simulated time: the controllers under troubles of all kinds (control), how versions
+    come into force (train), the replicated log alone (log), drafts that are merged (rejoin), or a tenant's
+    count among limiters (turnstile). A seed that goes wrong is told with what led to it, exit 1."""
+    from lapisgrade.lab.explore import control, first_train, log, rejoin, turnstile
 
-    one = {"train": first_train, "log": log, "rejoin": rejoin, "turnstile": turnstile}[what]
+    logging.disable(logging.WARNING)
+    one = dict(zip(EXPLORED, (control, first_train, log, rejoin, turnstile), strict=True))[what]
     if defect and defect not in one.DEFECTS:
         raise click.BadParameter(f"no such defect: {defect}; known: {', '.join(one.DEFECTS)}")
     count, seed = one.explore(range(first, first + seeds), defect, click.echo)
--- /dev/null
+++ b/lapisgrade/lab/simulation/cluster.py
@@ -0,0 +1,216 @@
+"""Controllers on simulated machines, the real shell each: started, killed, cut off, frozen, emptied,
+replaced.
+
+What they do is watched at every step by `watch.Watch`.
+"""
+
+import msgspec
+
+from lapisgrade.lab.simulation.disk import Disk
+from lapisgrade.lab.simulation.network import Endpoint, Network
+from lapisgrade.lab.simulation.virtual_loop import CURRENT, SECOND, Process, VirtualLoop
+from lapisgrade.lab.simulation.watch import Watch
+from lapisgrade.railway import talk
+from lapisgrade.railway.consensus.messages import Entry
+from lapisgrade.railway.consensus.node import Node
+from lapisgrade.railway.settings import Address, Bind, Settings, Span
+from lapisgrade.railway.signalbox.host import Box
+
+PORT = 7600
+CALLS_PORT = 8407  # where operators and servers call
+BEAT = 1_300_000  # us
+
+
+class OperatorCall(msgspec.Struct, array_like=True, tag="oc", frozen=True):
+    """A call of an operator or server, as HTTP would bring it."""
+
+    call: str
+    of: str
+    body: bytes
+
+
+class CallReply(msgspec.Struct, array_like=True, tag="or", frozen=True):
+    status: int
+    body: bytes = b""
+
+
+Message = talk.Message | OperatorCall | CallReply
+
+
+class NoDrafts:
+    """In place of the drafts' own store: none are kept."""
+
+    def __init__(self) -> None:
+        self.kept: dict = {}
+
+    async def recover(self) -> None:
+        pass
+
+    def close(self) -> None:
+        pass
+
+
+class SimulatedBox(Box):
+    """A controller's shell, with the network and disk of the simulation."""
+
+    def __init__(self, machine: "Machine", settings: Settings, process: Process) -> None:
+        cluster = machine.cluster
+        super().__init__(settings, lambda: cluster.loop.now_us + process.skew_us)
+        self.random.seed(cluster.loop.random.getrandbits(64))
+        self.machine, self.process, self.watch = machine, process, cluster.watch
+        self.depot, self._disk, self.holes = machine.disk, machine.disk, NoDrafts()
+        self.exchange = Endpoint(cluster.network, process, machine.ip, self._answer, self._word)
+        self.calls = Endpoint(cluster.network, process, machine.ip, self._call, lambda word: None)
+
+    async def run(self) -> None:
+        await self.calls.listen((self.settings.ip, CALLS_PORT))
+        await super().run()
+
+    async def _call(self, message: Message) -> Message | None:
+        if not isinstance(message, OperatorCall):
+            return None
+        answer = await self._pass(message.call, message.of, message.body)
+        return CallReply(answer.status, answer.body)
+
+    def _found(self, records: list) -> None:
+        super()._found(records)
+        self.watch.started(self)
+
+    def _leads(self) -> bool:
+        serves = super()._leads()
+        if serves:
+            self.watch.serves(self)
+        return serves
+
+    def _commit(self, entry: Entry) -> None:
+        super()._commit(entry)
+        self.watch.applied(self, entry)
+
+    def _carry_out(self, node: Node) -> bool:
+        restored = node.effects.restore is not None
+        again = super()._carry_out(node)
+        self.watch.stepped(self, restored)
+        return again
+
+
+class Machine:
+    """A place for one controller process at a time, with a disk."""
+
+    def __init__(self, cluster: "Cluster", name: str, ip: str) -> None:
+        self.cluster, self.name, self.ip = cluster, name, ip
+        self.disk = Disk(cluster.loop.random)
+        self.process: Process | None = None
+        self.box: SimulatedBox | None = None
+        self.identity = ""  # of the node on its disk, as it started last
+        self.lost_until = 0  # us; counted as lost while it is down, and for a time after
+        self.removed = False
+
+    @property
+    def running(self) -> bool:
+        return self.process is not None and self.process.alive
+
+    def start(self, bootstrap: bool = False) -> None:
+        cluster = self.cluster
+        self.process = process = Process(self.name)
+        cluster.processes.append(process)
+        settings = Settings(
+            self.name,
+            self.ip,
+            "z",
+            Bind(),
+            (PORT, PORT + 15),
+            tuple(Address((ip, CALLS_PORT)) for ip in cluster.seeds),
+            bootstrap,
+            True,
+            "",
+            Span(BEAT),
+        )
+        token = CURRENT.set(process)
+        try:
+            self.box = SimulatedBox(self, settings, process)
+            cluster.loop.call_soon(lambda: cluster.loop.create_task(self._run(self.box, process)))
+        finally:
+            CURRENT.reset(token)
+        cluster.say(f"{self.name} starts")
+
+    async def _run(self, box: SimulatedBox, process: Process) -> None:
+        await box.run()
+        self.cluster.say(f"{self.name} has ended")
+        box.calls.close()
+        process.alive = False
+
+    def stop(self) -> None:
+        """SIGTERM."""
+        self.cluster.say(f"{self.name} is told to end")
+        self.cluster.loop.after(0, self.process, self.box.end)
+
+    def kill(self, power: bool = False, wipe: bool = False) -> None:
+        self.cluster.say(f"{self.name}: " + ("disk lost" if wipe else "power lost" if power else "killed"))
+        if self.process is not None:
+            self.process.alive = False
+        if wipe:
+            self.disk.empty()
+        elif power:
+            self.disk.lose_power()
+        else:
+            self.disk.kill()
+
+    def freeze(self, seconds: float) -> None:
+        self.cluster.say(f"{self.name} stands still for {seconds:.1f} s")
+        self.process.frozen_until = self.cluster.loop.now_us + round(seconds * SECOND)
+
+
+class Cluster:
+    """Machines by name; `seeds` are the addresses that settings name."""
+
+    def __init__(self, loop: VirtualLoop, size: int) -> None:
+        self.loop = loop
+        self.network = Network(loop, Message)
+        self.processes: list[Process] = []
+        self.machines: dict[str, Machine] = {}
+        self.said: list[str] = []
+        self.watch = Watch(self)
+        self._made = 0
+        for _ in range(size):
+            self.add()
+        self.seeds = [each.ip for each in list(self.machines.values())[:3]]
+        for machine in self.machines.values():
+            machine.start(bootstrap=True)
+
+    def add(self) -> Machine:
+        """A new machine, at an address of its own, with an empty disk."""
+        self._made += 1
+        machine = Machine(self, f"m{self._made}", f"10.0.0.{self._made}")
+        self.machines[machine.name] = machine
+        return machine
+
+    def say(self, what: str) -> None:
+        self.said.append(f"{self.loop.now_us / SECOND:9.3f} s  {what}")
+
+    def running(self) -> list[Machine]:
+        return [each for each in self.machines.values() if each.running]
+
+    def nodes(self) -> list[Node]:
+        return [each.box.node for each in self.running() if each.box.node is not None]
+
+    def leader(self) -> Machine | None:
+        """The machine that leads in the newest term."""
+        leading = [each for each in self.running() if each.box.node is not None and each.box.node.leads]
+        return max(leading, key=lambda each: each.box.node.term, default=None)
+
+    def established(self) -> bool:
+        leader = self.leader()
+        return leader is not None and leader.box.node.established
+
+    def cut(self, names: list[str], one_way: bool = False) -> None:
+        """Cut those machines off from the others; `one_way`, so that only they aren't heard."""
+        self.say(f"cut off{', one way' if one_way else ''}: {', '.join(names)}")
+        inside = {self.machines[each].ip for each in names}
+        outside = {each.ip for each in self.machines.values()} - inside
+        self.network.cuts |= {(a, b) for a in inside for b in outside}
+        if not one_way:
+            self.network.cuts |= {(b, a) for a in inside for b in outside}
+
+    def heal(self) -> None:
+        self.say("the links are whole again")
+        self.network.heal()
--- /dev/null
+++ b/lapisgrade/lab/simulation/mutants.py
@@ -0,0 +1,319 @@
+"""Wrong versions of the control plane, to be switched on: a play that does not find them proves nothing.
+
+By what they break: a `LEADER` that is cut off, `ORDERS` sent twice or at once, `MEMBERS` that join and leave,
+a `LOG` that is restarted and compacted. Each is found by a course (`COURSES_OF`) but for `BY_RULE`, which
+need so rare a moment that a test of the rule itself finds them. The right versions stand in
+`railway/consensus/` and `railway/signalbox/`.
+"""
+
+from typing import Any
+
+import msgspec
+
+from lapisgrade.lab.explore.defects import Defects
+from lapisgrade.lab.simulation.cluster import SimulatedBox
+from lapisgrade.railway import timetable
+from lapisgrade.railway.consensus import membership, replication
+from lapisgrade.railway.consensus.log import ReplicatedLog
+from lapisgrade.railway.consensus.membership import Group
+from lapisgrade.railway.consensus.messages import (
+    AppendEntries,
+    AppendEntriesReply,
+    RequestVote,
+    RequestVoteReply,
+)
+from lapisgrade.railway.consensus.node import Node
+from lapisgrade.railway.consensus.records import DurableWrite, Record
+from lapisgrade.railway.consensus.snapshots import Assembly
+from lapisgrade.railway.signalbox import ledger
+from lapisgrade.railway.signalbox.ledger import Answer, Change, Ledger, NewVersion
+from lapisgrade.railway.signalbox.log_writer import LogWriter
+
+# ---- a leader that is cut off
+
+
+def _always_leased(self: Node) -> bool:
+    return self.established
+
+
+def _serves_as_led(self: SimulatedBox) -> bool:
+    """No look at the lease before a call is answered."""
+    if self._led:
+        self.watch.serves(self)
+    return self._led
+
+
+_on_append_reply = Node._on_append_reply
+
+
+def _lease_from_receipt(self: Node, reply: AppendEntriesReply) -> None:
+    """The lease runs from the answer's arrival, not from what it answers."""
+    _on_append_reply(self, reply)
+    if reply.follower in self.followers:
+        self.followers[reply.follower].acked_us = self.now
+
+
+def _hears_nobody(self: Node) -> bool:
+    return False
+
+
+_recovered = Node.recovered.__func__
+
+
+def _not_quiet(cls: type, *args: Any) -> Node:
+    """A node that starts again forgets that a lease may rest on its earlier life."""
+    node = _recovered(cls, *args)
+    node._quiet_until = 0
+    return node
+
+
+def _grants_while_leading(self: Node, request: RequestVote) -> None:
+    """A leader that a majority was not heard of for a while, and a candidate, say that they hold no lease."""
+    granted = request.term > self.term and not self._hears_leader() and self._log_is_current(request)
+    if not granted:
+        _on_pre_vote(self, request)
+        return
+    reply = RequestVoteReply(request.term, self.identity, True, True, False, True, request.round)
+    self._send(request.address, reply)
+
+
+_on_pre_vote = Node._on_pre_vote
+_on_vote_reply = Node._on_vote_reply
+
+
+def _any_round(self: Node, reply: RequestVoteReply) -> None:
+    """A pre-vote of an earlier round counts as one of this."""
+    if reply.pre_vote and reply.granted and reply.term == self.term + 1:
+        reply = msgspec.structs.replace(reply, round=self._round)
+    _on_vote_reply(self, reply)
+
+
+# ---- orders
+
+
+def _not_remembered(self: Ledger, data: bytes) -> None:
+    """What a snapshot holds of changes taken is lost."""
+    _load(self, data)
+    self.state.taken = {}
+
+
+_load = Ledger.load
+_accept = Ledger._accept
+
+
+def _any_base(self: Ledger, item: NewVersion) -> Answer:
+    """A version is taken on top of any other."""
+    if item.encoded.ver <= self.state.ver or self.state.taken.get(item.encoded.ver) == item.change:
+        return _accept(self, item)
+    text = ledger.decode(item.encoded, self.state.conf) if not item.encoded.base else self.state.conf
+    self._take_over(text, item.encoded.ver, item.change)
+    return Answer(200)
+
+
+def _by_bytes(body: bytes) -> bytes:
+    """The same change laid out in another way is another change."""
+    return timetable.blake2b(body, digest_size=16).digest()
+
+
+async def _at_once(self: SimulatedBox, data: bytes) -> Answer | None:
+    """A change is confirmed as it is put into the log."""
+    return None if self.node.propose(data) is None else Answer(200)
+
+
+async def _refuses_unknown(self: SimulatedBox, data: bytes) -> Answer | None:
+    """A change without a majority yet is refused."""
+    answer = await _propose(self, data)
+    return Answer(412, "no majority") if answer is None else answer
+
+
+_propose = SimulatedBox._propose
+
+
+def _without_digest(self: Ledger, change: Change) -> tuple[Answer, tuple[bytes, int] | None]:
+    """One that was taken is judged as if it were new."""
+    taken, self.state.taken = self.state.taken, {}
+    try:
+        return _judge(self, change)
+    finally:
+        self.state.taken = taken
+
+
+_judge = Ledger.judge
+
+# ---- members
+
+
+def _counts_all(self: Node) -> None:
+    """Learners count towards a majority."""
+    have = [self.durable, *(each.match for each in self.followers.values())]
+    have.sort(reverse=True)
+    index = have[len(self.voters) // 2] if self.voters else 0
+    if index > self.commit and self.log.term_at(index) == self.term:
+        self._commit_up_to(index)
+        self._send_to_all(heartbeat=True)
+
+
+def _any_change(group: Group) -> dict[str, str] | None:
+    """A change of voters that those who are caught up need not be a majority of."""
+    return membership._wanted(group) or membership._moved(group)
+
+
+def _changes_never_open(self: ReplicatedLog, index: int) -> bool:
+    """The next change is made before the one before is committed."""
+    return False
+
+
+def _own_entry_at_once(self: Node) -> None:
+    """A leader changes voters before an entry of its own term is committed (the note of 2015 on Raft)."""
+    self._first_index = 0
+    self.log.changes_voters_after = lambda index: False
+    _change_voters(self)
+    del self.log.changes_voters_after
+
+
+_change_voters = Node._change_voters
+
+
+def _forgets_voters(self: ReplicatedLog, index: int, state: bytes) -> None:
+    """A snapshot without the changes of voters in it."""
+    voters = self.base_voters
+    _compact(self, index, state)
+    self.base_voters = voters
+
+
+_compact = ReplicatedLog.compact
+_found = SimulatedBox._found
+
+
+def _votes_when_empty(self: SimulatedBox, records: list[Record]) -> None:
+    """An emptied disk takes itself for the first one at its address."""
+    self.settings = _bootstrapped(self.settings)
+    _found(self, records)
+
+
+def _bootstrapped(settings: Any) -> Any:
+    from attrs import evolve
+
+    return evolve(settings, bootstrap=True)
+
+
+def _adopts(self: Any, piece: Any) -> bytes | None:
+    """Every piece of a snapshot is taken for the whole."""
+    return piece.data
+
+
+# ---- the log
+
+
+def _durable_as_read(cls: type, *args: Any) -> Node:
+    """What a start reads counts as synced."""
+    node = _recovered(cls, *args)
+    node.durable = node.log.last
+    return node
+
+
+def _acknowledges_unsynced(self: Node, message: AppendEntries) -> None:
+    if message.term == self.term and message.leader == self.leader:
+        reply = AppendEntriesReply(self.term, self.identity, self.address, True, self.agreed, message.sent_us)
+        self._send(message.address, reply)
+
+
+def _sends_before_sync(self: LogWriter, write: DurableWrite) -> None:
+    """What should wait for the disk is said at once."""
+    then, write.then = write.then, []
+    self._node.effects.sends += then
+    _put(self, write)
+
+
+_put = LogWriter.put
+
+
+def _commits_any_term(self: Node) -> None:
+    """An entry of an earlier term is committed by counting its copies."""
+    have = [self.followers[name].match if name in self.followers else self.durable for name in self.voters]
+    have.sort(reverse=True)
+    index = have[len(have) // 2] if have else 0
+    if index > self.commit:
+        self._commit_up_to(index)
+        self._send_to_all(heartbeat=True)
+
+
+def _any_log(self: Node, request: RequestVote) -> bool:
+    return True
+
+
+def _never_truncates(self: ReplicatedLog, last: int) -> None:
+    """Entries that another leader replaced stay."""
+
+
+_dump = Ledger.dump
+
+
+def _stale_dump(self: Ledger) -> bytes:
+    """A snapshot of the state before the last one's."""
+    earlier = getattr(self, "_earlier", b"")
+    self._earlier = _dump(self)
+    return earlier or self._earlier
+
+
+def _loads_nothing(self: Ledger, data: bytes) -> None:
+    """A snapshot is read and not taken over."""
+
+
+LEADER: Defects = {
+    "lease-never-ends": (Node, "has_lease", _always_leased),
+    "serves-without-lease": (SimulatedBox, "_leads", _serves_as_led),
+    "lease-from-receipt": (Node, "_on_append_reply", _lease_from_receipt),
+    "votes-against-a-lease": (Node, "_hears_leader", _hears_nobody),
+    "restart-forgets-lease": (Node, "recovered", classmethod(_not_quiet)),
+}
+ORDERS: Defects = {
+    "digests-lost-in-snapshot": (Ledger, "load", _not_remembered),
+    "taken-on-any-base": (Ledger, "_accept", _any_base),
+    "digest-of-the-bytes": (timetable, "digest", _by_bytes),
+    "confirmed-at-once": (SimulatedBox, "_propose", _at_once),
+    "refused-while-unknown": (SimulatedBox, "_propose", _refuses_unknown),
+    "taken-judged-anew": (Ledger, "judge", _without_digest),
+}
+MEMBERS: Defects = {
+    "learner-counted": (Node, "_advance_commit", _counts_all),
+    "snapshot-without-voters": (ReplicatedLog, "compact", _forgets_voters),
+    "emptied-disk-votes": (SimulatedBox, "_found", _votes_when_empty),
+}
+CHANGES: Defects = {
+    "two-changes-at-once": (ReplicatedLog, "changes_voters_after", _changes_never_open),
+}
+MAJORITY: Defects = {
+    "change-without-majority": (replication, "next_voters", _any_change),
+}
+LOG: Defects = {
+    "durable-as-read": (Node, "recovered", classmethod(_durable_as_read)),
+    "acknowledged-before-sync": (Node, "_acknowledge", _acknowledges_unsynced),
+    "any-log-may-lead": (Node, "_log_is_current", _any_log),
+    "conflict-kept": (ReplicatedLog, "truncate", _never_truncates),
+    "vote-before-sync": (LogWriter, "put", _sends_before_sync),
+}
+TERMS: Defects = {
+    "old-term-committed": (Node, "_advance_commit", _commits_any_term),
+}
+SNAPSHOTS: Defects = {
+    "stale-snapshot": (Ledger, "dump", _stale_dump),
+    "snapshot-not-loaded": (Ledger, "load", _loads_nothing),
+    "piece-taken-for-all": (Assembly, "take", _adopts),
+}
+BY_RULE: Defects = {
+    "pre-vote-of-any-round": (Node, "_on_vote_reply", _any_round),
+    "leader-grants-pre-votes": (Node, "_on_pre_vote", _grants_while_leading),
+    "change-before-own-entry": (Node, "_change_voters", _own_entry_at_once),
+}
+COURSES_OF: list[tuple[Defects, str]] = [
+    (LEADER, "leader-cut"),
+    (ORDERS, "orders-resent"),
+    (MEMBERS, "second-loss"),
+    (CHANGES, "slow-changes"),
+    (MAJORITY, "lagging-partner"),
+    (LOG, "unsynced"),
+    (TERMS, "churn"),
+    (SNAPSHOTS, "hundreds-of-changes"),
+]
+MUTANTS: Defects = {name: each for group, _ in COURSES_OF for name, each in group.items()}
--- /dev/null
+++ b/lapisgrade/lab/simulation/virtual_loop.py
@@ -0,0 +1,156 @@
+"""An asyncio event loop on which time is simulated, and which knows whose callback it runs.
+
+Every callback belongs to the process in whose context it was scheduled. One of a process that was killed is
+dropped, one of a process that stands still waits, and one of a slow process is late.
+"""
+
+import asyncio
+import contextlib
+import heapq
+from collections.abc import Callable, Coroutine
+from contextvars import ContextVar, Token, copy_context
+from random import Random
+from typing import Any
+
+SECOND = 1_000_000  # us
+
+
+class Process:
+    """One life of one process."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.alive = True
+        self.frozen_until = 0  # us
+        self.slow_us = 0  # us by which each of its callbacks may be late
+        self.skew_us = 0  # its steady clock ahead of the loop's
+        self.tasks: list[asyncio.Task] = []
+
+
+CURRENT: ContextVar[Process | None] = ContextVar("process", default=None)
+
+
+class VirtualLoop(asyncio.AbstractEventLoop):
+    """`run_for` plays so many simulated seconds. Errors that nobody handles are kept in `errors`."""
+
+    def __init__(self, random: Random) -> None:
+        self.now_us = 10 * SECOND
+        self.random = random
+        self.errors: list[str] = []
+        self.callbacks = 0  # that were run; what a play costs
+        self._order = 0
+        self._events: list[tuple[int, int, asyncio.Handle, Process | None]] = []
+        self._tasks: list[asyncio.Task] = []
+        self.execute: Callable[[Callable, tuple], asyncio.Future] | None = None
+
+    # ---- what asyncio needs
+
+    def time(self) -> float:
+        return self.now_us / SECOND
+
+    def get_debug(self) -> bool:
+        return False
+
+    def is_running(self) -> bool:
+        return True
+
+    def is_closed(self) -> bool:
+        return False
+
+    def create_future(self) -> asyncio.Future:
+        return asyncio.Future(loop=self)
+
+    def create_task(self, coro: Coroutine, *, name: str | None = None, context: Any = None) -> asyncio.Task:
+        task = asyncio.Task(coro, loop=self, name=name, context=context)
+        process = CURRENT.get()
+        (process.tasks if process is not None else self._tasks).append(task)
+        return task
+
+    def call_soon(self, callback: Callable, *args: Any, context: Any = None) -> asyncio.Handle:
+        return self._schedule(asyncio.Handle(callback, args, self, context), self.now_us)
+
+    def call_later(self, delay: float, callback: Callable, *args: Any, context: Any = None) -> asyncio.Handle:
+        return self.call_at(self.time() + delay, callback, *args, context=context)
+
+    def call_at(self, when: float, callback: Callable, *args: Any, context: Any = None) -> asyncio.Handle:
+        handle = asyncio.TimerHandle(when, callback, args, self, context)
+        return self._schedule(handle, max(self.now_us, round(when * SECOND)))
+
+    def _timer_handle_cancelled(self, handle: asyncio.Handle) -> None:
+        pass
+
+    def run_in_executor(self, executor: Any, func: Callable, *args: Any) -> asyncio.Future:
+        """Run it as the blocking thread of `executor`, which says how long it takes."""
+        return executor.submit_to(self, func, args)
+
+    def call_exception_handler(self, context: dict) -> None:
+        wrong = context.get("exception")
+        if wrong is not None or "destroyed" not in context.get("message", ""):
+            self.errors.append(f"{context.get('message')}: {wrong!r}")
+
+    # ---- the play
+
+    def after(self, delay_us: int, process: Process | None, callback: Callable, *args: Any) -> asyncio.Handle:
+        """Have `callback` run in the context of `process`."""
+        context = copy_context()
+        context.run(CURRENT.set, process)
+        handle = asyncio.Handle(callback, args, self, context)
+        return self._schedule(handle, self.now_us + delay_us)
+
+    def _schedule(self, handle: asyncio.Handle, at_us: int) -> asyncio.Handle:
+        self._order += 1
+        process = handle._context.get(CURRENT)  # asyncio keeps no public name for it
+        heapq.heappush(self._events, (at_us, self._order, handle, process))
+        return handle
+
+    def run_for(self, seconds: float) -> None:
+        """Play that long."""
+        ends = self.now_us + round(seconds * SECOND)
+        asyncio._set_running_loop(self)
+        try:
+            while self._events and self._events[0][0] <= ends:
+                self._run_next()
+        finally:
+            asyncio._set_running_loop(None)
+        self.now_us = ends
+
+    def _run_next(self) -> None:
+        at, _, handle, process = heapq.heappop(self._events)
+        self.now_us = max(self.now_us, at)
+        if handle.cancelled():
+            return
+        if process is not None:
+            if not process.alive:
+                return
+            late = process.frozen_until - self.now_us
+            if late > 0:
+                self._order += 1
+                heapq.heappush(self._events, (process.frozen_until, self._order, handle, process))
+                return
+        self.callbacks += 1
+        handle._run()
+
+    def run_until(self, done: Callable[[], bool], within: float, step: float = 0.01) -> bool:
+        """Play until that holds, so many seconds at the most; whether it did."""
+        ends = self.now_us + round(within * SECOND)
+        while not done():
+            if self.now_us >= ends:
+                return False
+            self.run_for(step)
+        return True
+
+    def finish(self, processes: list[Process]) -> None:
+        """End what is still under way, once nothing of it can act any more."""
+        self._events.clear()
+        for process in processes:
+            process.alive = False
+        for task in [*self._tasks, *(each for process in processes for each in process.tasks)]:
+            task._log_destroy_pending = False
+            if not task.done():
+                with contextlib.suppress(RuntimeError, ValueError):  # it waits while it ends, or is running
+                    task.get_coro().close()
+
+
+def entered(process: Process) -> Token:
+    """Make `process` the one that acts, until the token is reset."""
+    return CURRENT.set(process)
--- a/lapisgrade/railway/consensus/node.py
+++ b/lapisgrade/railway/consensus/node.py
@@ -139,6 +139,8 @@
                 self._election_at = soon + self.random.randrange(START_SPREAD)
             if self.identity in self.voters and not self.stopped:
                 self._start_pre_vote()
+            else:
+                self.leader = self.leader_address = ""  # it is looked for anew, wherever it is now
 
     def _tick_leader(self) -> None:
         if self.now < self._heartbeat_at:
