lab line control: a leader cut off, killed or emptied after an acknowledgement, a member away

Change: six cases with real processes and cut links; the history of orders and reads is judged as one register's.

--- a/lapisgrade/cli/main.py
+++ b/lapisgrade/cli/main.py
@@ -414,6 +414,14 @@
         click.echo(line)
 
 
+@lab.command()
+def capacity() -> None:
+    """Measure what the control plane's parts cost by size, and their slopes: a Markdown table."""
+    from lapisgrade.lab.capacity import report
+
+    report(click.echo)
+
+
 EXPLORED = ("control", "train", "log", "rejoin", "turnstile")
 
 
@@ -458,17 +466,18 @@
 
 
 @lab.command()
-@click.argument("what", type=click.Choice(["rejoin", "quota"]))
+@click.argument("what", type=click.Choice(["control", "rejoin", "quota"]))
 @click.option("--plays", type=click.IntRange(1, 1000), default=3, show_default=True, help="of each case")
 @click.option("--cases", default="", help="names with commas between them; default: all")
 @click.option("--first", type=click.IntRange(0), default=0, show_default=True, help="the first seed")
 def line(what, plays, cases, first) -> None:
     """Play WHAT with the system's processes on loopback, whose links are cut and which are frozen and killed:
-    a route edited on both sides of a break (rejoin), or a tenant beyond its limit (quota). A Markdown table,
+    a leader cut off or struck (control), a route edited on both sides of a break (rejoin), or a tenant beyond
+    its limit (quota). A Markdown table,
     exit 1 where something was seen that must not be."""
-    from lapisgrade.lab.branchline import quota, rejoin
+    from lapisgrade.lab.branchline import control, quota, rejoin
 
-    one = {"rejoin": rejoin, "quota": quota}[what]
+    one = {"control": control, "rejoin": rejoin, "quota": quota}[what]
     names = cases.split(",") if cases else list(one.CASES)
     if strange := [each for each in names if each not in one.CASES]:
         raise click.BadParameter(f"no such case: {strange[0]}; known: {', '.join(one.CASES)}")
--- /dev/null
+++ b/tests/railway/test_control_processes.py
@@ -0,0 +1,48 @@
+"""The control plane's worst days with real processes: a leader cut off both ways and one way, killed or
+emptied right after an acknowledgement, a member that was away. In short; `lapisgrade lab line control` plays
+them in full.
+"""
+
+import tempfile
+import unittest
+from random import Random
+
+from lapisgrade.lab.branchline import control
+from lapisgrade.lab.branchline.control import CASES, NET, play
+
+PART = 0.12  # of the long cuts and of the hundreds of changes
+
+
+class Processes(unittest.IsolatedAsyncioTestCase):
+    async def played(self, case: str) -> control.Found:
+        net = NET + 30 + list(CASES).index(case)
+        with tempfile.TemporaryDirectory() as folder:
+            found = await play(case, net, folder, Random(7), PART)
+        self.assertEqual(found.wrong, [])
+        self.assertGreater(found.acknowledged, 10)
+        self.assertGreater(found.reads, 10)
+        return found
+
+    async def test_a_leader_that_is_cut_off_confirms_nothing_and_the_others_go_on(self) -> None:
+        found = await self.played("cut")
+        self.assertLess(found.longest_wait, control.WITHIN)
+
+    async def test_a_leader_that_is_not_heard(self) -> None:
+        await self.played("cut one way, not heard")
+
+    async def test_a_leader_that_hears_nobody(self) -> None:
+        await self.played("cut one way, hears nobody")
+
+    async def test_killed_right_after_an_acknowledgement(self) -> None:
+        await self.played("killed right after")
+
+    async def test_emptied_right_after_an_acknowledgement(self) -> None:
+        await self.played("emptied right after")
+
+    async def test_a_member_that_was_away_catches_up_leads_and_is_asked(self) -> None:
+        found = await self.played("away")
+        self.assertLess(found.caught_up, control.WITHIN)
+
+
+if __name__ == "__main__":
+    unittest.main()
