Slopes of the control plane, measured; a beat costs the same however many servers there are

Change: holders by address; tenants and services read once as routes are; a beat counts by Seq alone, and an unknown life takes no address from another service within Reuse.

--- /dev/null
+++ b/lapisgrade/lab/capacity.py
@@ -0,0 +1,223 @@
+"""What the control plane's parts cost as a deployment grows: processor time, bytes and memory by size,
+measured on the program's own code in this process, and the slopes that docs/CAPACITY.md reckons with.
+
+Processor times are of one core of the machine it runs on, the best of some repeats.
+"""
+
+import gc
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from lapisgrade.railway import calls, talk, timetable
+from lapisgrade.railway.configuration_delta import decode
+from lapisgrade.railway.configuration_feed import ConfigurationFeed
+from lapisgrade.railway.signalbox.ledger import Change, Ledger, Word, encoded
+from lapisgrade.railway.telegraph import Telegraph
+from lapisgrade.railway.wire import Codec
+
+REPEATS = 5
+SIZES = (500, 2_000, 8_000)  # routes; a tenant for each, and four and a half for each at the target
+SERVERS = (500, 2_000, 8_000)
+ASKS = (100, 400, 1_500)  # limiters
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One figure at several sizes."""
+
+    what: str
+    unit: str
+    sizes: tuple[int, ...]
+    values: tuple[float, ...]
+
+    @property
+    def slope(self) -> float:
+        """By least squares, a unit of size."""
+        mean_size, mean_value = sum(self.sizes) / len(self.sizes), sum(self.values) / len(self.values)
+        pairs = list(zip(self.sizes, self.values, strict=True))
+        above = sum((size - mean_size) * (value - mean_value) for size, value in pairs)
+        return above / sum((size - mean_size) ** 2 for size in self.sizes)
+
+
+def best_us(call: Callable[[], object], repeats: int = REPEATS) -> float:
+    """The least time that a call takes, us."""
+    least = float("inf")
+    for _ in range(repeats):
+        began = time.perf_counter()
+        call()
+        least = min(least, time.perf_counter() - began)
+    return least * 1e6
+
+
+def configuration(routes: int, tenants: int, ver: int = 7) -> dict:
+    """One as the operators send it."""
+    rules = [
+        {
+            "Name": f"r-{i:05x}", "Mode": "idem", "Target_time": "600ms", "Prio": 2, "Public": False,
+            "Match": {"Pfx": f"/p{i:05x}/"},
+            "Action": {"Svc": f"svc{i % 370}", "Timeout": "1500ms", "Tries": 2},
+        }
+        for i in range(routes)
+    ]  # fmt: skip
+    ports = [{"Vhost": f"v{i}.example", "Policy": rules[i::16]} for i in range(16)]
+    people = [
+        {"Name": f"t{i}", "Apikeys": [f"{i:020x}", f"k{i:019x}"], "Prio": 1, "RateS": 80, "Burst": 80}
+        for i in range(tenants)
+    ]
+    pools = [{"Name": f"svc{i}", "Hcheck": "/healthz", "Maxconn": 130} for i in range(370)]
+    return {"Ver": ver, "Tenants": people, "Ports": ports, "Pools": pools}
+
+
+def changed(base: int) -> Change:
+    rule = {
+        "Name": "r-00001", "Match": {"Pfx": "/p00001/"},
+        "Action": {"Svc": "svc1", "Timeout": f"{base}ms"},
+    }  # fmt: skip
+    body = {"Ver": base + 1, "Base": base, "Upsert": {"Ports": [{"Vhost": "v1.example", "Policy": [rule]}]}}
+    return Change(False, msgspec.json.encode(body))
+
+
+def held_bytes(make: Callable[[], object]) -> int:
+    """Memory that what it makes keeps."""
+    gc.collect()
+    tracemalloc.start()
+    made = make()
+    kept = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del made
+    return kept
+
+
+Figures = dict[tuple[str, str], float]  # by what and its unit
+
+
+def of_configuration(sizes: tuple[int, ...]) -> list[Row]:
+    """By routes, with as many tenants."""
+    columns = [with_routes(size) for size in sizes]
+    return [Row(what, unit, sizes, tuple(each[what, unit] for each in columns)) for what, unit in columns[0]]
+
+
+def with_routes(size: int) -> Figures:
+    ledger, feed = Ledger(), ConfigurationFeed()
+    ledger.take(1, encoded(Change(True, msgspec.json.encode({**configuration(size, size), "Base": 0}))))
+    text, change = ledger.state.conf, changed(7)
+    _, version = ledger.accepted(change)
+    entry = encoded(version)
+    whole, delta = feed.version(7, text, 0), feed.version(8, decode(version.encoded, text), 7)
+    return {
+        ("a version whole, as JSON", "bytes"): len(text),
+        ("a version whole, on the wire", "bytes"): len(whole.data),
+        ("judging a change at the leader", "us"): best_us(lambda: ledger.accepted(change)),
+        ("a change in the log", "bytes"): len(entry),
+        ("applying it at a member", "us"): best_us(lambda: applied(ledger, entry)),
+        ("a change to a proxy", "bytes"): len(delta.data),
+        ("reading it at a proxy", "us"): best_us(lambda: table(decode(delta, text))),
+        ("a snapshot", "bytes"): len(ledger.dump()),
+        ("making a snapshot", "us"): best_us(ledger.dump),
+        ("a version read, at a proxy", "bytes of memory"): held_bytes(lambda: table(text)),
+    }
+
+
+def table(text: bytes) -> timetable.Table:
+    return timetable.Table(timetable.read(msgspec.json.decode(text)))
+
+
+def applied(ledger: Ledger, entry: bytes) -> None:
+    """Take a version over, and forget it again."""
+    state = ledger.state
+    before = (state.conf, state.ver, dict(state.staged), dict(state.taken))
+    ledger.take(2, entry)
+    state.conf, state.ver, state.staged, state.taken = before
+
+
+def of_servers(sizes: tuple[int, ...]) -> list[Row]:
+    """By servers: the register at the leader, and what it tells."""
+    memory, beats, lists, sizes_of = [], [], [], []
+    body = msgspec.json.encode(
+        {"Svc": "svc1", "Addr": "10.0.0.1:80", "Az": "z", "Ver": "v1", "Slots": 4, "State": "up", "Seq": 1}
+    )
+    for size in sizes:
+        telegraph = registered(size)
+        memory.append(held_bytes(lambda size=size: registered(size)))
+        server, _ = calls.beat("i-1", body)
+
+        def beat(telegraph: Telegraph = telegraph, server=server) -> None:
+            made, _ = calls.beat("i-1", body)
+            made.seq = server.seq = server.seq + 1
+            telegraph.beat(2_000_000, made)
+
+        beats.append(best_us(beat, 50))
+        telegraph._settled = True
+        lists.append(best_us(lambda telegraph=telegraph: telegraph.yard.since(2_000_000, 0)))
+        sizes_of.append(len(msgspec.msgpack.encode(telegraph.yard.since(2_000_000, 0))))
+    return [
+        Row("the register at the leader", "bytes of memory", sizes, tuple(memory)),
+        Row("a beat at the leader", "us", sizes, tuple(beats)),
+        Row("the whole register, listed", "us", sizes, tuple(lists)),
+        Row("the whole register, told", "bytes", sizes, tuple(sizes_of)),
+    ]
+
+
+def registered(size: int) -> Telegraph:
+    telegraph = Telegraph(1_300_000, 0)
+    for i in range(size):
+        body = {"Svc": f"svc{i % 370}", "Addr": f"10.{i >> 16}.{i >> 8 & 255}.{i & 255}:80", "Seq": 1}
+        server, _ = calls.beat(f"i-{i:08x}", msgspec.json.encode(body))
+        telegraph.beat(1_000_000, server)
+    return telegraph
+
+
+def of_limiters(sizes: tuple[int, ...]) -> list[Row]:
+    """By limiters: one ask without news at the leader, with its frames, and the list of who lives."""
+    ledger = Ledger()
+    ledger.take(1, encoded(Change(True, msgspec.json.encode({**configuration(50, 50), "Base": 0}))))
+    codec = Codec(talk.Message)
+    asks, lists = [], []
+    for size in sizes:
+        telegraph = registered(100)
+        for i in range(size):
+            telegraph.news(1_000_000, ask(f"edge-{i}"), ledger.state, [])
+        cast = telegraph.cast(2_000_000, ledger.state)
+        lists.append(len(encoded(cast)))
+        frame = codec.frame(1, ask("edge-1"))
+
+        def answered(telegraph: Telegraph = telegraph, frame: bytes = frame) -> None:
+            ((number, asked),) = codec.read(bytearray(frame))
+            news = telegraph.news(1_100_000, asked, ledger.state, [])
+            codec.frame(number, news or telegraph.quiet(asked, ledger.state, []))
+
+        asks.append(best_us(answered, 50))
+    return [
+        Row("an ask without news at the leader", "us", sizes, tuple(asks)),
+        Row("the list of who lives", "bytes", sizes, tuple(lists)),
+    ]
+
+
+def ask(name: str) -> talk.Ask:
+    return talk.Ask(name, "10.0.0.1:7661", "0123456789abcdef", "zone", 7, "0+", 1 << 30, 0, held=7)
+
+
+def of_words() -> list[Row]:
+    """A server's word that it leaves, in the log."""
+    ledger, entry = Ledger(), encoded(Word("i-00000001", True))
+    return [
+        Row("a leaving server in the log", "bytes", (1, 2), (len(entry), 2 * len(entry))),
+        Row("applying it", "us", (1, 2), (best_us(lambda: ledger.take(1, entry), 50),) * 2),
+    ]
+
+
+def rows() -> list[Row]:
+    return [*of_configuration(SIZES), *of_servers(SERVERS), *of_limiters(ASKS), *of_words()]
+
+
+def report(say: Callable[[str], None]) -> None:
+    """A Markdown table of all figures and their slopes."""
+    say("| what | unit | by | values | slope a unit of size |")
+    say("| --- | --- | --- | --- | --- |")
+    for each in rows():
+        values = ", ".join(f"{value:,.0f}" for value in each.values)
+        say(f"| {each.what} | {each.unit} | {each.sizes} | {values} | {each.slope:,.4g} |")
--- a/lapisgrade/railway/timetable.py
+++ b/lapisgrade/railway/timetable.py
@@ -5,6 +5,7 @@
 """
 
 import functools
+from collections.abc import Callable
 from hashlib import blake2b
 from typing import Any
 
@@ -17,7 +18,7 @@
 
 MOST_BYTES = 8 * 1024 * 1024  # of one configuration; far beyond what a leader's memory is asked to hold
 HEADER, IDLE = Span(3 * SECOND), Span(15 * SECOND)  # what clients may take where the configuration is silent
-MOST_REMEMBERED = 8192  # routes that were read and are not read again; all of a large configuration
+MOST_REMEMBERED = 8192  # routes, and tenants, that were read and are not read again; a large configuration's
 BODY, HEAD = 64 * 1024 * 1024, 16_384  # bytes, the same
 
 
@@ -130,16 +131,22 @@
 
 @functools.cache
 def converter() -> cattrs.Converter:
-    """Strict, and with `None` for a priority left out. Versions share most of their routes: one that was read
+    """Strict, and with `None` for a priority left out. Versions share most of their items: one that was read
     lately is not read again."""
     made, plain = checker(), checker()
+    for kind in (Rule, Tenant, Pool):
+        made.register_structure_hook(kind, remembering(plain, kind))
+    return made
+
+
+def remembering(plain: cattrs.Converter, kind: type) -> Callable[[Any, type], Any]:
+    """A hook that reads each text of a record of that kind once."""
 
     @functools.lru_cache(MOST_REMEMBERED)
-    def rule(text: bytes) -> Rule:
-        return plain.structure(msgspec.json.decode(text), Rule)
+    def structured(text: bytes) -> Any:
+        return plain.structure(msgspec.json.decode(text), kind)
 
-    made.register_structure_hook(Rule, lambda raw, _: rule(msgspec.json.encode(raw)))
-    return made
+    return lambda raw, _: structured(msgspec.json.encode(raw))
 
 
 def read(raw: Any) -> Configuration:
--- a/lapisgrade/railway/yard.py
+++ b/lapisgrade/railway/yard.py
@@ -1,8 +1,8 @@
 """Which servers live, by their own beats: pure. Held by the leader, rebuilt from beats and from the carriers.
 
-A beat counts only where its `Seq` is above the last one of that life. A server that falls silent is told as
-lost after some beats, but by a leader only that has heard a full round itself. One that drains or is gone
-stays so.
+A beat counts only where its `Seq` is above the last one of that life, as beats may come seconds late. A
+server that falls silent is told as lost after some beats, but by a leader only that has heard a full round
+itself. One that drains or is gone stays so.
 """
 
 import msgspec
@@ -10,6 +10,9 @@
 MISSED = 3.3  # beats that a server may miss before it is told as lost
 ROUND = 2.5  # beats that a new leader hears before it tells of anyone lost
 FORGET = 20.0  # beats after which one that is gone is forgotten
+REUSE = (
+    2_000_000  # us after a server's end before which its address is no other service's; a bound we are told
+)
 MOST = 20_000  # servers; a flood of names holds no more of us
 
 
@@ -33,6 +36,7 @@
         self.servers: dict[str, Server] = {}
         self.heard: dict[str, int] = {}  # when it was last heard, or when it went
         self.warm: dict[str, int] = {}  # until when it is slow
+        self._holders: dict[str, str] = {}  # by address: the newest life that was up there
         self.turn = 1
 
     def settled(self, now_us: int) -> bool:
@@ -41,9 +45,9 @@
 
     def beat(self, now_us: int, told: Server) -> None:
         old = self.servers.get(told.id)
-        if old is not None and (told.seq <= old.seq and old.state != "lost"):
+        if old is not None and told.seq <= old.seq:
             return
-        if old is None and len(self.servers) >= MOST:
+        if old is None and (len(self.servers) >= MOST or self._late(now_us, told)):
             return
         if old is not None and old.state in ("drain", "gone"):
             told.state = old.state
@@ -61,9 +65,18 @@
         self.servers[told.id] = told
         if told.state == "up":
             # An address serves its newest life alone.
-            for each in list(self.servers.values()):
-                if each.address == told.address and each.id != told.id and each.state != "gone":
-                    self.left(now_us, each.id, True)
+            holder = self._holders.get(told.address, told.id)
+            if holder != told.id and holder in self.servers:
+                self.left(now_us, holder, True)
+            self._holders[told.address] = told.id
+
+    def _late(self, now_us: int, told: Server) -> bool:
+        """Whether the beat of one that isn't known here was long under way: another service's server was
+        heard at its address so lately that the address can't have changed hands since."""
+        holder = self.servers.get(self._holders.get(told.address, ""))
+        if holder is None or holder.svc == told.svc or holder.state != "up":
+            return False
+        return now_us - self.heard.get(holder.id, -REUSE) < REUSE
 
     def left(self, now_us: int, name: str, gone: bool) -> None:
         """It said that it drains or goes, or it surely went."""
@@ -101,6 +114,8 @@
             elif server.state in ("gone", "lost") and age > FORGET * self.beat_us:
                 for table in (self.servers, self.heard, self.warm):
                     table.pop(server.id, None)
+                if self._holders.get(server.address) == server.id:
+                    del self._holders[server.address]
 
     def since(self, now_us: int, turn: int) -> list[Server]:
         """What changed after that turn, with how much longer each is slow."""
--- a/tests/railway/test_control.py
+++ b/tests/railway/test_control.py
@@ -326,6 +326,33 @@
         beat(yard, 1.0, name="i-2")
         self.assertEqual(self.told(yard), {"i-1": "gone", "i-2": "up"})
 
+    def test_a_late_beat_brings_no_lost_server_back(self):
+        yard = Yard(SECOND, 0)
+        beat(yard, 0.1, seq=5)
+        beat(yard, 3.0, name="i-2", at="10.0.0.2:80")
+        yard.due(4 * SECOND)
+        beat(yard, 4.5, seq=4)
+        self.assertEqual(self.told(yard)["i-1"], "lost")
+        beat(yard, 4.6, seq=6)
+        self.assertEqual(self.told(yard)["i-1"], "up")
+
+    def test_a_late_beat_of_an_unknown_life_takes_no_address_from_another_service(self):
+        yard = Yard(SECOND, 0)
+        yard.beat(SECOND, Server("i-2", "reports", "10.0.0.1:80", "z", 2, "up", 1))
+        beat(yard, 1.5, name="i-1", seq=90)  # of one that ended before a new leader came
+        self.assertEqual(self.told(yard), {"i-2": "up"})
+        beat(yard, 3.5, name="i-3")  # the other one was not heard since: it has ended
+        self.assertEqual(self.told(yard), {"i-2": "gone", "i-3": "up"})
+
+    def test_all_servers_of_a_large_deployment_may_leave_at_once(self):
+        ledger = Ledger()
+        for number in range(13_000):
+            ledger.take(number, encoded(Word(f"i-{number}", number % 2 == 0)))
+        self.assertEqual(len(ledger.state.left), 13_000)
+        again = Ledger()
+        again.load(ledger.dump())
+        self.assertEqual(again.state, ledger.state)
+
     def test_a_call_that_is_none_is_refused(self):
         asked = [
             ("POST", "/-/rpc?call=servers.heartbeat&of=i-1"),
