--- a/lapisgrade/lab/simulation/courses.py
+++ b/lapisgrade/lab/simulation/courses.py
@@ -7,8 +7,8 @@
 from lapisgrade.lab.simulation.virtual_loop import SECOND
 
 LONG = 20.0  # s that a controller is cut off on the operators' days
-CAUGHT_UP = 4.0  # s in which a member that was away catches up, at MOST_CHANGES a second
-MOST_CHANGES = 25  # changes a second under which it must
+AWAY = 20.0  # s that a member is away; some hundred changes
+CAUGHT_UP = 4.0  # s in which it catches up while changes go on
 
 
 def _begun(seed: int, size: int = 3, tolerate: int = 1, pause: float = 0.1, operators: int = 2) -> Play:
@@ -103,14 +103,24 @@
         for operator in play.operators:
             operator.ack_lost = 0.6
             operator.repeats = 0.5
-        for _ in range(4):
+        for turn in range(4):
             play.loop.run_for(1.0 + play.random.random())
+            if turn % 2:
+                _stall_all(play)
+                continue
             trouble = play.random.choice(("crash", "crash_all", "cut", "restart"))
             getattr(play, trouble)(**({"power": True} if trouble == "crash_all" else {}))
         play.end()
     return play
 
 
+def _stall_all(play: Play) -> None:
+    """All disks stand still for longer than an operator waits: what is asked then is taken, but late."""
+    for machine in play.cluster.running():
+        machine.disk.stalled_until = play.loop.now_us + round((1.0 + play.random.random()) * SECOND)
+    play.loop.run_for(2.5)
+
+
 def second_loss(seed: int) -> Play:
     """A loss right after a repair or a replacement, at each of its steps."""
     size, tolerate = SIZES[seed // len(STEPS) % len(SIZES)]
@@ -140,13 +150,16 @@
 
 def _wiped_after_ack(play: Play) -> None:
     """All lose power right after an acknowledgement, one that holds it loses its disk, and of the rest those
-    without it come first."""
+    without it come first. One has a slow disk, so there is one without it."""
+    _, others = _leader_and_others(play)
+    others[0].disk.slow = 50.0
     acked = play.acknowledged()
     play.loop.run_until(lambda: play.acknowledged() > acked, 3.0, 0.0003)
     machines = play.cluster.running()
     holding = [each for each in machines if _on_disk(play, each)]
     wiped = play.random.choice(holding or machines)
     for machine in machines:
+        machine.disk.slow = 1.0
         machine.kill(power=True, wipe=machine is wiped)
     for machine in machines:
         late = machine in holding and machine is not wiped
@@ -249,7 +262,7 @@
             operator.ack_lost, operator.routes = 0.0, 12
         _, (member, *_) = _leader_and_others(play)
         member.kill(power=seed % 2 == 0, wipe=seed % 4 == 3)
-        play.loop.run_for(8.0)
+        play.loop.run_for(AWAY)
         member.start()
         if seed % 3 == 0:
             play.cluster.network.rates = {each.ip: 250_000.0 for each in play.cluster.running()}
@@ -316,6 +329,7 @@
 
 COURSES: dict[str, Callable[[int], Play]] = {
     "drawn": drawn,
+    "wiped-after-ack": one_step(_wiped_after_ack, 5.0),
     "newcomers": one_step(_newcomers_on_one_side, 3.0),
     "slow-changes": one_step(_slow_changes, 2.0),
     "lagging-partner": one_step(_lagging_partner, 3.0),
--- a/lapisgrade/lab/simulation/mutants.py
+++ b/lapisgrade/lab/simulation/mutants.py
@@ -278,6 +278,8 @@
 MEMBERS: Defects = {
     "learner-counted": (Node, "_advance_commit", _counts_all),
     "snapshot-without-voters": (ReplicatedLog, "compact", _forgets_voters),
+}
+EMPTIED: Defects = {
     "emptied-disk-votes": (SimulatedBox, "_found", _votes_when_empty),
 }
 CHANGES: Defects = {
@@ -310,6 +312,7 @@
     (LEADER, "leader-cut"),
     (ORDERS, "orders-resent"),
     (MEMBERS, "second-loss"),
+    (EMPTIED, "wiped-after-ack"),
     (CHANGES, "slow-changes"),
     (MAJORITY, "lagging-partner"),
     (LOG, "unsynced"),
--- a/tests/railway/test_simulation.py
+++ b/tests/railway/test_simulation.py
@@ -38,6 +38,9 @@
     def test_a_second_loss_after_a_repair_or_replacement_costs_nothing(self) -> None:
         self.play("second-loss", 15)
 
+    def test_one_that_holds_an_acknowledgement_is_emptied_and_all_lose_power(self) -> None:
+        self.play("wiped-after-ack")
+
     def test_changes_of_voters_under_late_answers(self) -> None:
         self.play("slow-changes")
 
