--- /dev/null
+++ b/lapisgrade/lab/answers.py
@@ -0,0 +1,241 @@
+"""Plays of answers and their owners: a small site in this process, on sockets, before servers that break off,
+answer late, twice, with another's answer first, without a length, or not at all, and clients that leave.
+
+What must hold: an answer ends the request that it belongs to or none; what may run once runs once at most; a
+promise that a request has not run is kept; a success is a server's whole answer with its seal.
+"""
+
+import asyncio
+from collections import Counter, deque
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+import h11
+
+from lapisgrade.interface import Outcome
+from lapisgrade.net.ending import Ending
+from lapisgrade.net.hops import Link
+from lapisgrade.net.http import Garbled, Message, Parser
+from lapisgrade.railway.caller import ask
+from lapisgrade.railway.carrier import Platform
+from lapisgrade.railway.halt import framed
+from lapisgrade.railway.junction.dialect import Wording
+from lapisgrade.railway.sidings import SAMPLE, Server, Site
+
+KEY = f"Bearer {SAMPLE['Tenants'][0]['Apikeys'][0]}"
+PROMISES = (408, 421, 429, 503)
+TRIES = 2  # servers that one try may be sent to, in the sample's routes
+CLIENTS = 6  # at each limiter
+LEAVES = 0.05  # part of the requests whose client leaves early
+WORK = 0.004  # s that a server works on a request
+MANNERS = {
+    "well": 12, "reset unread": 1, "runs and resets": 1, "runs and is silent": 1, "another's first": 2,
+    "twice": 1, "again late": 1, "not run": 1, "cut short": 1, "without its seal": 1, "without a length": 1,
+}  # fmt: skip
+
+
+class Unruly(Server):
+    """A stand-in that answers each request in a manner drawn by chance."""
+
+    def __init__(self, *args: Any, chance: Random, **more: Any) -> None:
+        super().__init__(*args, **more)
+        self.chance = chance
+        self.arrived: Counter[str] = Counter()  # by Try-Id, run or not
+        self._lately: deque[str] = deque(maxlen=8)  # ids of others, whose answers come astray
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            rest, goes_on = b"", True
+            while goes_on:
+                parser, message = Parser(h11.SERVER), None
+                while message is None:
+                    chunk = rest or await reader.read(65_536)
+                    rest = b""
+                    if not chunk:
+                        return
+                    message = parser.feed(chunk)
+                rest = message.rest
+                goes_on = await self._one(message, writer)
+        except (OSError, Garbled, asyncio.CancelledError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _one(self, message: Message, writer: asyncio.StreamWriter) -> bool:
+        """Answer one request in some manner; whether the connection goes on."""
+        name = message.headers()[b"try-id"].decode()
+        self.arrived[name] += 1
+        manner = self.chance.choices(list(MANNERS), list(MANNERS.values()))[0]
+        if manner == "reset unread":
+            writer.transport.abort()
+            return False
+        own = f"Try-Id: {name}\r\nServer-Load: 0,0,{self.slots}\r\n"
+        if manner == "not run":
+            writer.write(framed(503, b"", (own + "Not-Run: 1\r\n").encode()))
+            return True
+        self.ran[name] += 1
+        await asyncio.sleep(WORK)
+        body = f"{message.head.target.decode()} {name}".encode()
+        whole = framed(200, body, (own + "Server-Seal: seal\r\n").encode())
+        return self._say(manner, whole, body, own, writer, name)
+
+    def _say(
+        self, manner: str, whole: bytes, body: bytes, own: str, writer: asyncio.StreamWriter, name: str
+    ) -> bool:
+        other = self._lately[0] if self._lately else "another"
+        self._lately.append(name)
+        match manner:
+            case "runs and resets":
+                writer.transport.abort()
+            case "runs and is silent":
+                asyncio.get_running_loop().call_later(0.3, writer.transport.abort)
+            case "another's first":
+                astray = f"/astray {other}".encode()
+                writer.write(
+                    framed(200, astray, f"Try-Id: {other}\r\nServer-Seal: seal\r\n".encode()) + whole
+                )
+            case "twice":
+                writer.write(whole + whole)
+            case "again late":
+                writer.write(whole)
+                asyncio.get_running_loop().call_later(0.02, writer.write, whole)
+            case "cut short":
+                writer.write(whole[:-3])
+                writer.close()
+            case "without its seal":
+                writer.write(framed(200, body, own.encode()))
+            case "without a length":
+                writer.write(f"HTTP/1.1 200 OK\r\n{own}\r\n".encode() + body)
+                writer.transport.abort()
+            case _:
+                writer.write(whole)
+        return manner not in ("runs and resets", "runs and is silent", "cut short", "without a length")
+
+
+@dataclass(slots=True)
+class Try:
+    """One try of a client, and what it was told; status 0 where nothing came or the client left."""
+
+    once: bool  # whether it may run once alone
+    status: int = 0
+    body: bytes = b""
+    sealed: bool = False
+
+
+@dataclass(slots=True)
+class Found:
+    tries: dict[str, Try] = field(default_factory=dict)
+    ran: Counter[str] = field(default_factory=Counter)
+    arrived: Counter[str] = field(default_factory=Counter)
+
+    def wrong(self) -> list[str]:
+        """What must not be."""
+        out = []
+        for name, each in self.tries.items():
+            if each.once and self.ran[name] > 1:
+                out.append(f"{name} may run once, and ran {self.ran[name]} times")
+            if each.once and each.status in PROMISES and self.ran[name]:
+                out.append(f"{name} was promised not to have run ({each.status}), and ran")
+            if self.arrived[name] > TRIES:
+                out.append(f"{name} came to {self.arrived[name]} servers")
+            if 200 <= each.status < 300:
+                if not each.body.endswith(name.encode()):
+                    out.append(f"{name} got the answer {each.body!r}")
+                if not each.sealed or not self.ran[name]:
+                    out.append(f"{name} got a success that no server gave")
+        strange = set(self.arrived) - set(self.tries)
+        return out + [f"{name} came to a server, and no client sent it" for name in sorted(strange)]
+
+
+async def client(site: Site, name: str, chance: Random, found: Found, ends: float) -> None:
+    loop = asyncio.get_running_loop()
+    while loop.time() < ends:
+        once, id = chance.random() < 0.5, f"{chance.getrandbits(64):016x}"
+        one = found.tries[id] = Try(once)
+        fields = {"Host": "a.example", "Try-Id": id, "Deadline-Ms": "900", "Authorization": KEY}
+        sent = ask(
+            site.http(name), "POST" if once else "GET", "/claim/1" if once else "/stock/1", fields=fields
+        )
+        try:
+            async with asyncio.timeout(0.003 if chance.random() < LEAVES else 3.0):
+                got = await sent
+        except (OSError, TimeoutError, Garbled):
+            continue
+        one.status, one.body = got.head.status_code, b"".join(got.body)
+        one.sealed = b"server-seal" in got.headers()
+        await asyncio.sleep(0.002)
+
+
+async def play(seed: int, net: int, seconds: float = 2.0, servers: int = 3) -> Found:
+    """So many seconds of requests at a site of one machine."""
+    chance, found = Random(seed), Found()
+    unmetered = {**SAMPLE["Tenants"][0], "RateS": 0, "Burst": 0}
+    async with Site(1, 1, net) as site:
+        unruly = [
+            Unruly(f"i-{i}", "garantie", (f"127.{net}.1.{i}", 8080), slots=16, chance=Random(seed + i))
+            for i in range(1, servers + 1)
+        ]
+        for each in unruly:
+            await each.start()
+            site.servers[each.name] = each
+            site._tasks[each] = asyncio.get_running_loop().create_task(site._beats(each))
+        while await site.put({**SAMPLE, "Tenants": [unmetered]}) != 200:
+            await asyncio.sleep(0.01)
+        carrier = site.carriers["m1"]
+        await site.until(lambda: carrier.ready and len(carrier.register) == servers)
+        ends = asyncio.get_running_loop().time() + seconds
+        clients = [client(site, "m1", Random(chance.random()), found, ends) for _ in range(CLIENTS)]
+        await asyncio.gather(*clients)
+        await asyncio.sleep(0.5)  # what was sent may still arrive
+        for each in unruly:
+            found.ran.update(each.ran)
+            found.arrived.update(each.arrived)
+    return found
+
+
+# ---- wrong versions
+
+_told, _end, _worded = Wording.told, Link.end, Platform.worded
+
+
+def _by_order(self: Wording, hop: Any, message: Message) -> bool:
+    """Whatever comes next is the answer."""
+    return False
+
+
+def _any_id(self: Wording, hop: Any, message: Message) -> Ending:
+    """An answer is taken whose id is another's."""
+    asked = hop.operation.handle
+    before, asked.request_id = asked.request_id, message.headers().get(b"try-id", asked.request_id)
+    try:
+        return _told(self, hop, message)
+    finally:
+        asked.request_id = before
+
+
+def _unsealed(self: Wording, hop: Any, message: Message) -> Ending:
+    """A success counts without the server's seal."""
+    return Ending.ANSWERED if 200 <= message.head.status_code < 300 else _told(self, hop, message)
+
+
+def _broken_is_unsent(self: Link, ending: Ending) -> None:
+    """A connection that breaks off is taken for one on which nothing was sent."""
+    _end(self, Ending.UNWRITTEN if ending is Ending.BROKEN else ending)
+
+
+def _always_promises(self: Platform, answer: Any) -> tuple[int, bytes]:
+    """What may have run is told to come back."""
+    status, more = _worded(self, answer)
+    return (503, b"Retry-After: 0.1\r\n") if status in (502, 504) else (status, more)
+
+
+MUTANTS: dict[str, list[tuple[Any, str, Any]]] = {
+    "answer-by-order": [(Wording, "stray", _by_order), (Wording, "told", _any_id)],
+    "unsealed-success": [(Wording, "told", _unsealed)],
+    "broken-is-unsent": [(Link, "end", _broken_is_unsent)],
+    "always-promises": [(Platform, "worded", _always_promises)],
+    "all-never-ran": [(Outcome, "never_ran", property(lambda self: True))],
+}
--- a/lapisgrade/lab/capacity.py
+++ b/lapisgrade/lab/capacity.py
@@ -118,7 +118,7 @@
         ("reading it at a proxy", "us"): best_us(lambda: table(decode(delta, text))),
         ("a snapshot", "bytes"): len(ledger.dump()),
         ("making a snapshot", "us"): best_us(ledger.dump),
-        ("a version read, at a proxy", "bytes of memory"): held_bytes(lambda: table(text)),
+        ("a version read, at a proxy", "bytes of memory"): held_bytes(lambda: table_alone(text)),
     }
 
 
@@ -126,6 +126,12 @@
     return timetable.Table(timetable.read(msgspec.json.decode(text)))
 
 
+def table_alone(text: bytes) -> timetable.Table:
+    """With all that is remembered of it: nothing was read before."""
+    timetable.converter.cache_clear()
+    return table(text)
+
+
 def applied(ledger: Ledger, entry: bytes) -> None:
     """Take a version over, and forget it again."""
     state = ledger.state
