One loop reads a stand-in server's requests, for well-behaved and unruly ones

Cause: the unruly servers of lab/answers.py had the stand-in's reading loop once more. Change: Server answers one request in a method of its own; Unruly overrides that. Measured: test_answers and test_site pass.

--- a/lapisgrade/lab/answers.py
+++ b/lapisgrade/lab/answers.py
@@ -11,12 +11,11 @@
 from random import Random
 from typing import Any
 
-import h11
 
 from lapisgrade.interface import Outcome
 from lapisgrade.net.ending import Ending
 from lapisgrade.net.hops import Link
-from lapisgrade.net.http import Garbled, Message, Parser
+from lapisgrade.net.http import Garbled, Message
 from lapisgrade.railway.caller import ask
 from lapisgrade.railway.carrier import Platform
 from lapisgrade.railway.halt import framed
@@ -44,26 +43,6 @@
         self.arrived: Counter[str] = Counter()  # by Try-Id, run or not
         self._lately: deque[str] = deque(maxlen=8)  # ids of others, whose answers come astray
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._writers.add(writer)
-        try:
-            rest, goes_on = b"", True
-            while goes_on:
-                parser, message = Parser(h11.SERVER), None
-                while message is None:
-                    chunk = rest or await reader.read(65_536)
-                    rest = b""
-                    if not chunk:
-                        return
-                    message = parser.feed(chunk)
-                rest = message.rest
-                goes_on = await self._one(message, writer)
-        except (OSError, Garbled, asyncio.CancelledError):
-            pass
-        finally:
-            self._writers.discard(writer)
-            writer.close()
-
     async def _one(self, message: Message, writer: asyncio.StreamWriter) -> bool:
         """Answer one request in some manner; whether the connection goes on."""
         name = message.headers()[b"try-id"].decode()
--- a/lapisgrade/railway/sidings.py
+++ b/lapisgrade/railway/sidings.py
@@ -13,7 +13,7 @@
 import msgspec
 from returns.result import Failure
 
-from lapisgrade.net.http import Message, Parser
+from lapisgrade.net.http import Garbled, Message, Parser
 from lapisgrade.railway import SECOND
 from lapisgrade.railway.caller import ask, told
 from lapisgrade.railway.carrier import Carrier
@@ -63,8 +63,8 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         try:
-            rest = b""
-            while True:
+            rest, goes_on = b"", True
+            while goes_on:
                 parser, message = Parser(h11.SERVER), None
                 while message is None:
                     chunk = rest or await reader.read(65_536)
@@ -73,18 +73,22 @@
                         return
                     message = parser.feed(chunk)
                 rest = message.rest
-                if self.manner == "full":
-                    self.seen[message.headers().get(b"try-id", b"").decode()] += 1
-                    return writer.transport.abort()
-                writer.write(await self._answer(message))
-                if self.manner == "cut":
-                    return
-        except (OSError, asyncio.CancelledError):
+                goes_on = await self._one(message, writer)
+        except (OSError, Garbled, asyncio.CancelledError):
             pass
         finally:
             self._writers.discard(writer)
             writer.close()
 
+    async def _one(self, message: Message, writer: asyncio.StreamWriter) -> bool:
+        """Answer one request; whether the connection goes on."""
+        if self.manner == "full":
+            self.seen[message.headers().get(b"try-id", b"").decode()] += 1
+            writer.transport.abort()
+            return False
+        writer.write(await self._answer(message))
+        return self.manner != "cut"
+
     async def _answer(self, message: Message) -> bytes:
         fields = {name: value.decode() for name, value in message.headers().items()}
         name = fields.get(b"try-id", "")
