Dead code of the simulation goes

Cause: three names that nothing used, found by reading the change once more. Change: clients.age, virtual_loop.entered and the loop's execute are gone.

--- a/lapisgrade/lab/simulation/clients.py
+++ b/lapisgrade/lab/simulation/clients.py
@@ -7,7 +7,7 @@
 
 from lapisgrade.lab.simulation.cluster import CALLS_PORT, PORT, CallReply, Cluster, OperatorCall
 from lapisgrade.lab.simulation.network import Endpoint
-from lapisgrade.lab.simulation.virtual_loop import CURRENT, SECOND, Process
+from lapisgrade.lab.simulation.virtual_loop import CURRENT, Process
 from lapisgrade.railway import talk
 from lapisgrade.railway.configuration_delta import decode
 from lapisgrade.railway.settings import Bad
@@ -239,8 +239,3 @@
         known = self.cluster.watch.versions.get(encoded.ver)
         if known is None or known[1] != text:
             self.cluster.watch.break_(f"limiter {self.number} has another version {encoded.ver}")
-
-
-def age(limiter: Limiter) -> float:
-    """Seconds since the newest ask that was answered."""
-    return (limiter.loop.now_us - limiter.fresh_us) / SECOND
--- a/lapisgrade/lab/simulation/virtual_loop.py
+++ b/lapisgrade/lab/simulation/virtual_loop.py
@@ -8,7 +8,7 @@
 import contextlib
 import heapq
 from collections.abc import Callable, Coroutine
-from contextvars import ContextVar, Token, copy_context
+from contextvars import ContextVar, copy_context
 from random import Random
 from typing import Any
 
@@ -41,7 +41,6 @@
         self._order = 0
         self._events: list[tuple[int, int, asyncio.Handle, Process | None]] = []
         self._tasks: list[asyncio.Task] = []
-        self.execute: Callable[[Callable, tuple], asyncio.Future] | None = None
 
     # ---- what asyncio needs
 
@@ -149,8 +148,3 @@
             if not task.done():
                 with contextlib.suppress(RuntimeError, ValueError):  # it waits while it ends, or is running
                     task.get_coro().close()
-
-
-def entered(process: Process) -> Token:
-    """Make `process` the one that acts, until the token is reset."""
-    return CURRENT.set(process)
