--- a/lapisgrade/gateway/cli/disk_report.py
+++ b/lapisgrade/gateway/cli/disk_report.py
@@ -15,6 +15,7 @@
 from lapisgrade.gateway.controller.change_validation import ApplyResult
 from lapisgrade.gateway.controller.commands import (
     Activate,
+    ClaimOperations,
     CloseDraft,
     ConfigurationChange,
     LiveProxies,
@@ -146,6 +147,8 @@
             return f"draft {item.draft_id}: closed"
         case Activate():
             return f"version {item.version} comes into force"
+        case ClaimOperations():
+            return f"{len(item.claims)} claims of keyed operations"
         case ServerLeaving() | LiveProxies() | ServerSnapshot():
             return _describe_membership(item)
 
--- a/lapisgrade/gateway/controller/commands.py
+++ b/lapisgrade/gateway/controller/commands.py
@@ -10,6 +10,7 @@
 from lapisgrade.gateway import configuration_change
 from lapisgrade.gateway.configuration_delta import EncodedVersion
 from lapisgrade.gateway.merge.three_way import Draft
+from lapisgrade.gateway.operations.table import Claim
 from lapisgrade.gateway.registry import Server
 
 
@@ -87,6 +88,20 @@
     draft_id: str
 
 
+class ClaimOperations(msgspec.Struct, array_like=True, tag="o", frozen=True):
+    """Claims of keyed operations, in the order in which the leader received them.
+
+    Attributes:
+        elapsed_us: What the leader has measured since its last batch; 0 for its first.
+        retention_us: How long a record is kept.
+        claims: To be recorded one after the other.
+    """
+
+    elapsed_us: int
+    retention_us: int
+    claims: list[Claim]
+
+
 LogCommand = (
     ConfigurationChange
     | NewVersion
@@ -96,6 +111,7 @@
     | Activate
     | MergeDraft
     | CloseDraft
+    | ClaimOperations
 )
 
 
--- /dev/null
+++ b/lapisgrade/gateway/operations/table.py
@@ -0,0 +1,104 @@
+"""Which attempt holds which operation key: the replicated part of keyed operations. Pure.
+
+Every controller applies the same claims in the order of the log, so all tables are alike. Time is counted by
+the log as well: each batch of claims says how much time its leader has measured since its last one. The time
+without a leader is not counted, so a record is kept too long rather than too short.
+
+    unclaimed --Claim--> held by an attempt --its retention has passed--> unclaimed
+                            |         ^
+                            +---------+ Claim that replaces exactly this attempt, which never ran
+"""
+
+import msgspec
+
+MAX_RECORDS = 65_536  # operations in their window; some hundred a second for a minute, several times over
+MAX_KEY_BYTES = 256  # of an operation key, as HTTP brought it
+
+
+class Claim(msgspec.Struct, array_like=True, frozen=True):
+    """An attempt wants to run an operation.
+
+    Attributes:
+        tenant: Whose operation it is; keys of different tenants have nothing to do with one another.
+        key: The operation key.
+        attempt: Identifies the attempt among all of all proxies.
+        owner: Where the proxy of the attempt answers other proxies.
+        replaces: The attempt that held the key and is known never to run; empty for a first claim.
+    """
+
+    tenant: str
+    key: str
+    attempt: str
+    owner: str
+    replaces: str = ""
+
+
+class OperationRecord(msgspec.Struct, array_like=True, frozen=True):
+    """The attempt that holds a key.
+
+    Attributes:
+        attempt: As its claim named it.
+        owner: Where its proxy answers other proxies.
+        claimed_us: When it was claimed, by the table's clock.
+    """
+
+    attempt: str
+    owner: str
+    claimed_us: int
+
+
+class ClaimResult(msgspec.Struct, array_like=True, frozen=True):
+    """What became of a claim.
+
+    Attributes:
+        attempt: The attempt that holds the key now; empty where the table is full and nothing was recorded.
+        owner: Where its proxy answers other proxies.
+    """
+
+    attempt: str = ""
+    owner: str = ""
+
+
+class OperationTable(msgspec.Struct):
+    """The records, in the order in which they were claimed.
+
+    Attributes:
+        clock_us: The time that leaders have counted.
+        records: By `record_id`.
+    """
+
+    clock_us: int = 0
+    records: dict[str, OperationRecord] = {}
+
+    def find(self, tenant: str, key: str) -> OperationRecord | None:
+        """Return who holds a key; a record that is beyond its retention may still be there."""
+        return self.records.get(record_id(tenant, key))
+
+    def advance(self, elapsed_us: int, retention_us: int) -> None:
+        """Count time, and drop the records that are older than their retention."""
+        self.clock_us += max(0, elapsed_us)
+        oldest_us = self.clock_us - retention_us
+        expired = []
+        for name, record in self.records.items():
+            if record.claimed_us >= oldest_us:
+                break  # the others were claimed later
+            expired.append(name)
+        for name in expired:
+            del self.records[name]
+
+    def claim(self, claim: Claim) -> ClaimResult:
+        """Record a claim where nobody else holds its key, and return who holds it now."""
+        name = record_id(claim.tenant, claim.key)
+        record = self.records.get(name)
+        if record is not None and record.attempt != claim.replaces:
+            return ClaimResult(record.attempt, record.owner)
+        if record is None and len(self.records) >= MAX_RECORDS:
+            return ClaimResult()
+        self.records.pop(name, None)  # the newest stands last
+        self.records[name] = OperationRecord(claim.attempt, claim.owner, self.clock_us)
+        return ClaimResult(claim.attempt, claim.owner)
+
+
+def record_id(tenant: str, key: str) -> str:
+    """Return the name of an operation's record; different for any two pairs."""
+    return f"{len(tenant)}:{tenant}{key}"
--- a/lapisgrade/gateway/rpc_messages.py
+++ b/lapisgrade/gateway/rpc_messages.py
@@ -9,6 +9,8 @@
 from lapisgrade.gateway.configuration_delta import EncodedVersion
 from lapisgrade.gateway.consensus.messages import Message as ConsensusMessage
 from lapisgrade.gateway.merge.three_way import Draft
+from lapisgrade.gateway.operations.outcomes import Outcome
+from lapisgrade.gateway.operations.table import Claim
 from lapisgrade.gateway.registry import Server
 
 ProxiesByName = dict[str, tuple[str, str, str]]
@@ -276,6 +278,47 @@
     is_stored: bool
 
 
+class ClaimRequest(msgspec.Struct, array_like=True, tag="C", frozen=True):
+    """A proxy asks the leader to record that one of its attempts runs a keyed operation."""
+
+    claim: Claim
+
+
+class ClaimReply(msgspec.Struct, array_like=True, tag="c", frozen=True):
+    """The leader's answer to a claim.
+
+    Attributes:
+        is_known: Whether the leader knows who holds the key. False where the receiver doesn't lead, or where
+            the claim may still be recorded; the same claim may be sent again, there or elsewhere.
+        attempt: The attempt that holds the key, on a majority of the disks; empty where no more are recorded.
+        owner: Where that attempt's proxy answers other proxies.
+        leader_address: Where the leader may be found, where the receiver doesn't lead.
+    """
+
+    is_known: bool
+    attempt: str = ""
+    owner: str = ""
+    leader_address: str = ""
+
+
+class OutcomeRequest(msgspec.Struct, array_like=True, tag="U", frozen=True):
+    """A proxy asks the one that holds a key's claim what came of its attempt.
+
+    Attributes:
+        attempt: As the claim named it.
+        wait_us: How long the reply may wait for the end of an attempt that is running.
+    """
+
+    attempt: str
+    wait_us: int
+
+
+class OutcomeReply(msgspec.Struct, array_like=True, tag="u", frozen=True):
+    """What came of an attempt, as far as its proxy knows."""
+
+    outcome: Outcome
+
+
 Message = (
     ConsensusMessage
     | ForwardCall
@@ -289,5 +332,9 @@
     | ProxyLoads
     | CopyDraft
     | CopyDraftReply
+    | ClaimRequest
+    | ClaimReply
+    | OutcomeRequest
+    | OutcomeReply
 )
 """Every message that `rpc_connection.Codec` carries between the gateway's processes."""
