Consensus: a leader that shuts down waits for a successor that has all of its log

Callers saw: with an entry in flight at SIGTERM no voter had all of the leader's log, so nobody got TimeoutNow, and nothing was acknowledged for an election (0.4 to 0.7 s) in place of some 10 ms. With a stream of claims of keyed operations an entry is nearly always in flight.

Cause: step_down looked for a successor once, at that moment. Evidence: the new test failed before: test_a_leader_that_shuts_down_with_an_entry_in_flight_transfers_leadership_too: assert '' not in ('', 'b')

Now the leader refuses proposals and changes of voters, keeps replicating, and transfers leadership with the reply that brings the first voter up to date, or steps down after an election time-out (thesis, 3.10). It serves nobody as the leader meanwhile, as before.

--- a/lapisgrade/gateway/consensus/node.py
+++ b/lapisgrade/gateway/consensus/node.py
@@ -52,7 +52,7 @@
 from lapisgrade.gateway.consensus.recovery import replay
 from lapisgrade.gateway.consensus.replication import Replication
 from lapisgrade.gateway.consensus.state import NodeState, Role
-from lapisgrade.gateway.consensus.timing import HEARTBEAT_INTERVAL_US
+from lapisgrade.gateway.consensus.timing import HEARTBEAT_INTERVAL_US, LEADERSHIP_TRANSFER_US
 from lapisgrade.gateway.consensus.voter import Voter
 
 
@@ -85,6 +85,7 @@
         self.voter = Voter(self.state, self.timer, self, self.replication.quorum_contact_us)
         self.election = Election(self.state, self.timer, self.voter, self)
         self.follower = Follower(self.state, self.timer, self.voter, self)
+        self._transfer_ends_us = 0  # when a leader that shuts down waits for a successor no longer
 
     @classmethod
     def recover(
@@ -204,20 +205,34 @@
         self.state.advance_clock(now_us)
 
     def propose(self, data: bytes) -> tuple[int, int] | None:
-        """Put a command into the log; returns its index and term, or None where this isn't the leader."""
-        return self.replication.propose(data)
+        """Put a command into the log; returns its index and term.
+
+        Returns None where this isn't the leader, or is one that shuts down.
+        """
+        return None if self.state.is_stopping else self.replication.propose(data)
 
     def compact(self, snapshot: bytes) -> None:
         """Take the state machine's state after all entries up to `commit_index` in their place."""
         self.compaction.compact(snapshot)
 
     def step_down(self) -> None:
-        """Shut down in order: transfer leadership to a voter that has all of the log (thesis, 3.10)."""
+        """Shut down in order: transfer leadership to a voter that has all of the log (thesis, 3.10).
+
+        Entries in flight are waited for; nothing more is proposed meanwhile.
+        """
         state = self.state
         state.is_stopping = True
-        if not state.is_leader:
+        self._transfer_ends_us = state.now_us + LEADERSHIP_TRANSFER_US
+        self._transfer_leadership()
+
+    def _transfer_leadership(self) -> None:
+        """Step down once a voter has all of the log, or when the time for it is over."""
+        state = self.state
+        if not (state.is_leader and state.is_stopping):
             return
         successors = self.replication.successors()
+        if not successors and state.now_us < self._transfer_ends_us:
+            return
         self.become_follower(state.term)
         for name, address in successors[:1]:
             state.send(address, TimeoutNow(state.term, name))
@@ -237,6 +252,7 @@
             self.become_follower(self.state.term)
             return
         self.replication.heartbeat_due_us = self.state.now_us + HEARTBEAT_INTERVAL_US
+        self._transfer_leadership()
         self.reconfiguration.change_voters()
         self.replication.send_to_all(heartbeat=True)
 
@@ -263,6 +279,7 @@
                 self.follower.on_append_entries(message)
             case messages.AppendEntriesReply():
                 self.replication.on_append_reply(message)
+                self._transfer_leadership()
             case messages.InstallSnapshot():
                 self.follower.on_install_snapshot(message)
             case messages.InstallSnapshotReply():
--- a/lapisgrade/gateway/consensus/reconfiguration.py
+++ b/lapisgrade/gateway/consensus/reconfiguration.py
@@ -52,9 +52,9 @@
             self.change_voters()
 
     def change_voters(self) -> None:
-        """Make the next change of voters, if one is needed and safe."""
+        """Make the next change of voters, if one is needed and safe; none while leadership is transferred."""
         state, replication = self.state, self._replication
-        if self.is_change_pending():
+        if state.is_stopping or not state.is_leader or self.is_change_pending():
             return
         voters = next_voters(self._view())
         if voters is None:
--- a/lapisgrade/gateway/consensus/timing.py
+++ b/lapisgrade/gateway/consensus/timing.py
@@ -23,3 +23,6 @@
 
 RETRY_JITTER_US = 50_000
 """At random up to so much more."""
+
+LEADERSHIP_TRANSFER_US = ELECTION_TIMEOUT_US
+"""How long a leader that shuts down waits for a voter that has all of the log (thesis, 3.10)."""
--- a/lapisgrade/gateway/controller/consensus_driver.py
+++ b/lapisgrade/gateway/controller/consensus_driver.py
@@ -128,7 +128,7 @@
         if self.node is None:
             return False
         self.node.advance_clock(self._clock())
-        is_leader = self.is_established and self.node.has_lease()
+        is_leader = self.is_established and not self.node.is_stopping and self.node.has_lease()
         if is_leader:
             self.observer.on_lease_confirmed()
         return is_leader
--- a/tests/gateway/consensus/test_cluster.py
+++ b/tests/gateway/consensus/test_cluster.py
@@ -79,6 +79,38 @@
     assert b"y" in cluster.acknowledged
 
 
+def test_a_leader_that_shuts_down_with_an_entry_in_flight_transfers_leadership_too():
+    cluster = Cluster(6)
+    cluster.run(2)
+    old = cluster.leader()
+    cluster.propose(b"x")  # no other voter has it yet
+    cluster.nodes[old].step_down()
+    cluster.carry_out_effects(old)
+    cluster.run(0.1)  # far below the least election time-out
+    assert cluster.leader() not in ("", old)
+    assert b"x" in cluster.acknowledged
+
+
+def test_a_leader_that_shuts_down_proposes_nothing_more():
+    cluster = Cluster(6)
+    cluster.run(2)
+    old = cluster.leader()
+    cluster.propose(b"x")
+    cluster.nodes[old].step_down()
+    assert cluster.nodes[old].propose(b"y") is None
+
+
+def test_a_leader_that_shuts_down_without_a_successor_steps_down_all_the_same():
+    cluster = Cluster(6)
+    cluster.run(2)
+    old = cluster.leader()
+    cluster.blocked_links = {(old, each) for each in "abc" if each != old}
+    cluster.propose(b"x")
+    cluster.nodes[old].step_down()
+    cluster.run(0.6)
+    assert not cluster.nodes[old].is_leader
+
+
 def test_a_leader_that_reaches_nobody_steps_down():
     cluster = Cluster(3)
     cluster.run(2)
