Tell operators that no configuration was ever accepted, and why the last was refused

Callers saw 503 to every request and no process ready, and nothing told whether the operator's configuration was refused, never came, or was lost: conf.status said version 0 in all three.

The leader now logs each refused change in one line (at most 20 a second), counts it (changes_refused, by call and status), and conf.status has EverAccepted and LastRefused (call, status, reason of at most 300 characters, how long ago), which `lapisgrade status` prints. The memory is the leader's own; a new leader begins with none. An API key that is no text is not shown in the reason.

tests/compatibility: the keys of conf.status are checked as strictly as before, with the two that were added; the other goldens are as they were.

--- a/lapisgrade/gateway/cli/operator_client.py
+++ b/lapisgrade/gateway/cli/operator_client.py
@@ -91,6 +91,8 @@
         """Print which version is in force, which proxies lag, and the servers of each service."""
         _, status = await self.fetch_newest()
         self._print_line(f"newest version {status['Newest']}, in force {status['InForce']}")
+        for line in refusal_lines(status):
+            self._print_line(f"  {line}")
         for line in lagging_proxies(status, status["Newest"]):
             self._print_line(f"  {line}")
         for service, servers in sorted(status["Servers"].items()):
@@ -98,6 +100,17 @@
         return ExitCode.DONE
 
 
+def refusal_lines(status: JsonObject) -> list[str]:
+    """Describe why nothing may be served, and the last refused change; controllers of before tell neither."""
+    lines = []
+    if not status.get("EverAccepted", True):
+        lines.append("no configuration was ever accepted: every request gets 503")
+    if refused := status.get("LastRefused"):
+        answer = f"{refused['Call']}, {refused['Status']}, {refused['AgoMs'] / 1000:.0f} s ago"
+        lines.append(f"last refused change: {answer}: {refused['Reason']}")
+    return lines
+
+
 def lagging_proxies(status: JsonObject, version: int) -> list[str]:
     """Describe the proxies that don't act by that version yet, and what holds each back."""
     return [_lagging_proxy(proxy, version) for proxy in status["Proxies"] if proxy["InForce"] < version]
--- a/lapisgrade/gateway/configuration.py
+++ b/lapisgrade/gateway/configuration.py
@@ -27,6 +27,12 @@
 DEFAULT_BODY_BYTES = 64 * 1024 * 1024
 
 
+class ApiKey(str):
+    """A tenant's API key: a secret, which no message shows, not even where it can't be read."""
+
+    __slots__ = ()
+
+
 def wire_field(name: str, **options: Any) -> Any:
     """Return an attrs field that the configuration has under another key than `wire_name` would make."""
     return field(metadata={"wire": name}, **options)
@@ -169,7 +175,7 @@
     """
 
     name: str = field(validator=check_name)
-    apikeys: tuple[str, ...] = ()
+    apikeys: tuple[ApiKey, ...] = ()
     prio: int | None = None
     rate_s: float = field(default=0.0, validator=check_not_negative, metadata={"wire": "RateS"})
     burst: float = field(default=0.0, validator=check_not_negative)
@@ -215,11 +221,18 @@
 def converter() -> cattrs.Converter:
     """Return the converter of configurations; versions share most of their items, so items are cached."""
     caching, plain = strict_converter(), strict_converter()
+    plain.register_structure_hook(ApiKey, _read_api_key)
     for kind in (Rule, Tenant, Pool):
         caching.register_structure_hook(kind, _cached_hook(plain, kind))
     return caching
 
 
+def _read_api_key(value: Any, _: type) -> str:
+    if type(value) is not str:
+        raise ValueError("an API key is not text")
+    return value
+
+
 def _cached_hook(plain: cattrs.Converter, kind: type) -> Callable[[Any, type], Any]:
     """Return a hook that reads each text of a record of that kind once."""
 
--- a/lapisgrade/gateway/controller/leader_calls.py
+++ b/lapisgrade/gateway/controller/leader_calls.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from lapisgrade.gateway import api
+from lapisgrade.gateway.controller.change_validation import ApplyResult
 from lapisgrade.gateway.controller.commands import (
     CloseDraft,
     ConfigurationChange,
@@ -19,6 +20,7 @@
     encode_command,
 )
 from lapisgrade.gateway.controller.consensus_driver import ConsensusDriver
+from lapisgrade.gateway.controller.refused_changes import RefusedChanges
 from lapisgrade.gateway.controller.replies import decode_draft_id, encode_error, encode_result
 from lapisgrade.gateway.controller.state_machine import StateMachine
 from lapisgrade.gateway.controller.status_report import status_report
@@ -45,6 +47,7 @@
         consensus: ConsensusDriver,
         state_machine: StateMachine,
         watch_service: WatchService,
+        refused_changes: RefusedChanges,
         own_address: Address,
         clock: Callable[[], int],
     ) -> None:
@@ -52,6 +55,7 @@
         self.watch_service = watch_service
         self._consensus = consensus
         self._state_machine = state_machine
+        self._refused_changes = refused_changes
         self._own_address = own_address
         self.clock = clock
         self._handlers: dict[str, CallHandler] = {
@@ -85,10 +89,7 @@
 
     async def commit(self, command: LogCommand) -> ForwardCallReply:
         """Put a command into the log, and return what the state machine said of it."""
-        result = await self._consensus.propose(encode_command(command))
-        if result is None:
-            return encode_error(HTTPStatus.GATEWAY_TIMEOUT, "no majority has it yet; it may come into force")
-        return encode_result(result)
+        return _encode_proposed(await self._consensus.propose(encode_command(command)))
 
     # ---- servers
 
@@ -108,16 +109,20 @@
     # ---- the configuration
 
     async def _replace_configuration(self, of: str, body: bytes) -> ForwardCallReply:
-        return await self._change(ConfigurationChange(True, body))
+        return await self._change("conf.replace", ConfigurationChange(True, body))
 
     async def _update_configuration(self, of: str, body: bytes) -> ForwardCallReply:
-        return await self._change(ConfigurationChange(False, body))
+        return await self._change("conf.update", ConfigurationChange(False, body))
 
-    async def _change(self, change: ConfigurationChange) -> ForwardCallReply:
+    async def _change(self, call: str, change: ConfigurationChange) -> ForwardCallReply:
         prepared = self._state_machine.prepare(change)
         if prepared.command is None:  # refused, or applied before: it needs no entry in the log
-            return encode_result(prepared.result)
-        return await self.commit(prepared.command)
+            result: ApplyResult | None = prepared.result
+        else:
+            result = await self._consensus.propose(encode_command(prepared.command))
+        if result is not None and result.status >= HTTPStatus.BAD_REQUEST:
+            self._refused_changes.record(call, result, self.clock())
+        return _encode_proposed(result)
 
     async def _show_configuration(self, of: str, body: bytes) -> ForwardCallReply:
         state = self._state_machine.state
@@ -128,7 +133,8 @@
     async def _show_status(self, of: str, body: bytes) -> ForwardCallReply:
         watch = self.watch_service.watch
         servers = list(watch.registry.servers.values())
-        status = status_report(self.clock(), self._state_machine.state, watch.proxies, servers)
+        state, last_refused = self._state_machine.state, self._refused_changes.last
+        status = status_report(self.clock(), state, last_refused, watch.proxies, servers)
         return ForwardCallReply(HTTPStatus.OK, msgspec.json.encode({**status, **self._voter_status()}))
 
     def _voter_status(self) -> dict[str, object]:
@@ -166,7 +172,14 @@
         operations = [each for each in draft.changes if outcome.error or each.path in paths]
         configuration = three_way.force_changes(msgspec.json.decode(state.configuration), operations)
         change = {**configuration, "Ver": state.version + 1, "Base": state.version}
-        reply = await self._change(ConfigurationChange(True, msgspec.json.encode(change)))
+        reply = await self._change("conf.settle", ConfigurationChange(True, msgspec.json.encode(change)))
         if reply.status != HTTPStatus.OK:
             return reply
         return await self.commit(CloseDraft(draft_id))
+
+
+def _encode_proposed(result: ApplyResult | None) -> ForwardCallReply:
+    """Return the reply to a proposal; None is one whose outcome is not known yet."""
+    if result is None:
+        return encode_error(HTTPStatus.GATEWAY_TIMEOUT, "no majority has it yet; it may come into force")
+    return encode_result(result)
--- a/lapisgrade/gateway/controller/metrics.py
+++ b/lapisgrade/gateway/controller/metrics.py
@@ -14,6 +14,7 @@
         membership_changes: Committed log entries that change the voters.
         entries_applied: Committed log entries with a command, applied to the state machine.
         commands_proposed: Commands that the leader itself proposed, by type.
+        changes_refused: Changes of the configuration that were refused, by call and HTTP status.
         disk_syncs: Successful writes of the log's file.
         disk_write_failures: Failed writes of the log's file; each is retried.
         invalid_peer_addresses: Consensus messages dropped because the peer's address can't be parsed.
@@ -29,6 +30,7 @@
     membership_changes: int = 0
     entries_applied: int = 0
     commands_proposed: Counter[str] = msgspec.field(default_factory=Counter)
+    changes_refused: Counter[str] = msgspec.field(default_factory=Counter)
     disk_syncs: int = 0
     disk_write_failures: int = 0
     invalid_peer_addresses: int = 0
--- a/lapisgrade/gateway/controller/server.py
+++ b/lapisgrade/gateway/controller/server.py
@@ -32,6 +32,7 @@
 from lapisgrade.gateway.controller.leader_discovery import ClusterMembership, LeaderDiscovery
 from lapisgrade.gateway.controller.log_writer import LogWriter
 from lapisgrade.gateway.controller.metrics import ControllerMetrics
+from lapisgrade.gateway.controller.refused_changes import RefusedChanges
 from lapisgrade.gateway.controller.state_machine import StateMachine
 from lapisgrade.gateway.controller.watch import Watch
 from lapisgrade.gateway.controller.watch_service import WatchService
@@ -41,6 +42,7 @@
 from lapisgrade.gateway.storage.draft_store import DraftStore
 from lapisgrade.gateway.storage.log_store import LogStore
 from lapisgrade.net.http import Message as HttpMessage
+from lapisgrade.net.rate_limited_log import RateLimitedLog
 
 log = logging.getLogger("controller")
 
@@ -123,7 +125,12 @@
             self.watch, self.consensus, discovery, self.state_machine, clock, self.metrics
         )
         leader_calls = LeaderCalls(
-            self.consensus, self.state_machine, self.watch_service, self._own_address, clock
+            self.consensus,
+            self.state_machine,
+            self.watch_service,
+            RefusedChanges(self.metrics, RateLimitedLog("controller", log.warning).write),
+            self._own_address,
+            clock,
         )
         self.forwarder = CallForwarder(self.consensus, leader_calls, discovery, self.rpc, clock)
         self.draft_delivery = self._make_draft_delivery()
--- a/lapisgrade/gateway/controller/status_report.py
+++ b/lapisgrade/gateway/controller/status_report.py
@@ -1,19 +1,29 @@
-"""The part of `conf.status` that tells of versions, proxies and servers."""
+"""The part of `conf.status` that tells of versions, refused changes, proxies and servers."""
 
 from typing import Any
 
+from lapisgrade.gateway.controller.refused_changes import RefusedChange
 from lapisgrade.gateway.controller.state import State
 from lapisgrade.gateway.controller.version_activation import ProxyStatus
 from lapisgrade.gateway.registry import Server, ServerState
 
 
 def status_report(
-    now_us: int, state: State, proxies: dict[str, ProxyStatus], servers: list[Server]
+    now_us: int,
+    state: State,
+    last_refused: RefusedChange | None,
+    proxies: dict[str, ProxyStatus],
+    servers: list[Server],
 ) -> dict[str, Any]:
-    """Return which versions are newest and active, each proxy's versions, and what serves; for JSON."""
+    """Return which versions are newest and active, each proxy's versions, and what serves; for JSON.
+
+    `last_refused` is the last change that this leader refused; None for none.
+    """
     return {
         "Newest": state.version,
         "InForce": state.active_version,
+        "EverAccepted": state.version > 0,
+        "LastRefused": None if last_refused is None else last_refused.report(now_us),
         "Proxies": [_proxy_report(now_us, name, proxy) for name, proxy in sorted(proxies.items())],
         "Servers": _server_report(servers),
     }
--- a/lapisgrade/net/rate_limited_log.py
+++ b/lapisgrade/net/rate_limited_log.py
@@ -1,8 +1,9 @@
-"""The limiter's log on standard error, for the people on call: `HH:MM:SS NAME: TEXT`."""
+"""A log of so many lines a second at most; by default on standard error, as `HH:MM:SS NAME: TEXT`."""
 
+import functools
 import sys
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 MAX_LINES_PER_SECOND = 20
 
@@ -10,10 +11,11 @@
 class RateLimitedLog:
     """Prints lines, so many a second at the most; how many were left out is said in the next second."""
 
-    __slots__ = ("_name", "_omitted", "_printed", "_second")
+    __slots__ = ("_omitted", "_print", "_printed", "_second")
 
-    def __init__(self, name: str) -> None:
-        self._name = name
+    def __init__(self, name: str, print_line: Callable[[str], None] | None = None) -> None:
+        """`print_line` takes each line that is printed; by default it goes to standard error."""
+        self._print = print_line or functools.partial(_print_to_standard_error, name)
         self._second = 0
         self._printed = 0  # in that second
         self._omitted = 0
@@ -37,5 +39,6 @@
         """Print all counters on one line, whatever else was printed in this second."""
         self._print("counts: " + ", ".join(f"{name} {counts[name]}" for name in sorted(counts)))
 
-    def _print(self, text: str) -> None:
-        print(f"{time.strftime('%H:%M:%S')} {self._name}: {text}", file=sys.stderr, flush=True)
+
+def _print_to_standard_error(name: str, text: str) -> None:
+    print(f"{time.strftime('%H:%M:%S')} {name}: {text}", file=sys.stderr, flush=True)
--- a/tests/compatibility/test_recovery.py
+++ b/tests/compatibility/test_recovery.py
@@ -24,7 +24,10 @@
 WITHIN_S = 20.0
 NET = 161  # the loopback network that the stored controllers know each other by
 STORED = json.loads((DATA / "dump" / "m3-conf.txt").read_text().partition("\n")[2])
-STATUS_KEYS = ["Newest", "InForce", "Proxies", "Servers", "Leader", "Term", "Voters"]
+STATUS_KEYS = [
+    *("Newest", "InForce", "EverAccepted", "LastRefused"),
+    *("Proxies", "Servers", "Leader", "Term", "Voters"),
+]
 PROXY_KEYS = ["Name", "Az", "At", "Life", "Core", "Leaving", "Held", "InForce", "HeardMs"]
 KEPT_DRAFT_KEYS = ["Id", "By", "At", "Base", "State", "Fields"]
 MERGED_DRAFT_KEYS = ["Id", "By", "At", "Base", "State", "Stands", "Aside", "Wrong"]
