--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""What holds for every test: event loops, reservations, and a collector that stays out of measured time."""
+"""What holds for every test: event loops, reservations, known faults, and a quiet garbage collector."""
 
 import asyncio
 import gc
@@ -7,11 +7,22 @@
 from collections.abc import Iterator
 
 import pytest
+from support import known_red
 from support.loopback_network import LoopbackNetwork, reserve_loopback_network
 
 TIMEOUT_S = 180.0  # of a test that is a coroutine function
 
 
+def pytest_addoption(parser: pytest.Parser) -> None:
+    """Add the option that has tests run that fail because of a known fault."""
+    known_red.add_option(parser)
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    """Pass over the tests that fail because of a known fault, and print them."""
+    config.pluginmanager.register(known_red.KnownRedPlugin(config), "known-red")
+
+
 @pytest.hookimpl(tryfirst=True)
 def pytest_pyfunc_call(pyfuncitem: pytest.Function) -> bool | None:
     """Run a test that is a coroutine function on an event loop of its own, in asyncio's debug mode.
