--- a/tests/gateway/test_configuration.py
+++ b/tests/gateway/test_configuration.py
@@ -24,3 +24,7 @@
         15_000_000,
     )
     assert (read.tenants[0].rate_s, read.tenants[0].burst, read.tenants[0].prio) == (81, 81, 1)
+
+
+def test_a_route_of_mode_keyed_does_not_have_a_configuration_refused():
+    assert configuration.read(with_rule(Mode="keyed")).ports[0].policy[0].mode == "keyed"
