--- a/lapisgrade/gateway/cli/configuration_check.py
+++ b/lapisgrade/gateway/cli/configuration_check.py
@@ -12,7 +12,7 @@
 
 from lapisgrade.gateway import SECOND, configuration
 from lapisgrade.gateway.cli.operator_client import JsonObject
-from lapisgrade.gateway.configuration import Configuration, Rule, Tenant
+from lapisgrade.gateway.configuration import Configuration, Mode, Rule, Tenant
 from lapisgrade.gateway.configuration_change import apply_change
 from lapisgrade.gateway.errors import InvalidInputError
 from lapisgrade.gateway.merge import fields as merge_fields
@@ -33,7 +33,7 @@
     ("does not begin with a slash", "prefixes begin and end with a slash"),
     ("not both and not none", "an Action has Svc, or Split with weights"),
     ("stands twice", "names, keys and a host's prefixes are there once"),
-    ("is no mode", "Mode is idem for what may be repeated, else mutate"),
+    ("is no mode", "Mode is idem for what may be repeated, keyed for what bears an Op-Key, else mutate"),
     ("not above", "Ver climbs with each change"),
     ("required field", "it can't be left out"),
 )
@@ -109,7 +109,7 @@
             yield f"service {share.svc} has weight 0: nothing goes there"
     if len({share.svc for share in action.split}) < len(action.split):
         yield "a service stands twice in its split"
-    if rule.mode == "idem" and action.tries == 1:
+    if rule.mode is Mode.IDEM and action.tries == 1:
         yield "may be repeated, but is tried once"
     if rule.public and conf.tenants is None:
         yield "is public where no key is wanted anyway"
--- a/lapisgrade/gateway/configuration.py
+++ b/lapisgrade/gateway/configuration.py
@@ -7,6 +7,7 @@
 
 import functools
 from collections.abc import Callable
+from enum import StrEnum
 from typing import Any
 
 import cattrs
@@ -62,10 +63,29 @@
         raise ValueError(f"{wire_name(attribute.name)} must have 1 to {MAX_NAME_LENGTH} characters")
 
 
-def check_mode(_: Any, attribute: Any, value: str) -> None:
-    """Validate whether a route's requests may run more than once."""
-    if value not in ("idem", "mutate"):
-        raise ValueError(f"{value!r} is no mode, as idem and mutate are")
+class Mode(StrEnum):
+    """How often a route's requests may run; the values are the configuration's own words.
+
+    Attributes:
+        IDEM: Idempotent: as often as is of use.
+        MUTATE: At most once for each attempt of a client.
+        KEYED: At most once for all attempts of a tenant with one `Op-Key`.
+    """
+
+    IDEM = "idem"
+    MUTATE = "mutate"
+    KEYED = "keyed"
+
+
+def to_mode(value: str) -> Mode:
+    """Return the mode of that name.
+
+    Raises:
+        ValueError: There is none.
+    """
+    if value not in tuple(Mode):
+        raise ValueError(f"{value!r} is no mode, as idem, mutate and keyed are")
+    return Mode(value)
 
 
 @define(frozen=True, slots=True)
@@ -124,7 +144,7 @@
         name: Unique in the configuration.
         match: Which requests it takes.
         action: Where they go.
-        mode: `idem` for idempotent requests, `mutate` for those that may run only once.
+        mode: How often its requests may run.
         target_time: The latency target, in us.
         prio: The priority; where there is too much load, the lowest is shed first.
         public: Whether requests without an API key are taken.
@@ -133,7 +153,7 @@
     name: str = field(validator=check_name)
     match: Match
     action: Action
-    mode: str = field(default="mutate", validator=check_mode)
+    mode: Mode = field(default=Mode.MUTATE, converter=to_mode)
     target_time: Span = wire_field("Target_time", default=Span(SECOND))
     prio: int = 1
     public: bool = False
@@ -155,11 +175,13 @@
         name: Unique in the configuration.
         hcheck: The path of its health check.
         maxconn: How many connections one of its servers takes.
+        dedup: Whether its servers keep a record of operation keys of their own.
     """
 
     name: str = field(validator=check_name)
     hcheck: str = "/healthz"
     maxconn: int = field(default=100, validator=check_positive)
+    dedup: bool = False
 
 
 @define(frozen=True, slots=True)
--- a/lapisgrade/gateway/routing/request.py
+++ b/lapisgrade/gateway/routing/request.py
@@ -4,7 +4,7 @@
 from http import HTTPStatus
 from typing import Any
 
-from lapisgrade.gateway.configuration import Rule, Tenant
+from lapisgrade.gateway.configuration import Mode, Rule, Tenant
 from lapisgrade.interface import Operation, Reject
 
 
@@ -24,7 +24,7 @@
     @property
     def is_idempotent(self) -> bool:
         """Whether it may run more than once."""
-        return self.rule.mode == "idem"
+        return self.rule.mode is Mode.IDEM
 
 
 @dataclass(slots=True)
--- a/lapisgrade/gateway/routing/route_versions.py
+++ b/lapisgrade/gateway/routing/route_versions.py
@@ -12,6 +12,7 @@
 
 from http import HTTPStatus
 
+from lapisgrade.gateway.configuration import Mode
 from lapisgrade.gateway.routing.route_table import RouteMatch, RouteTable
 from lapisgrade.gateway.watch_timing import MISSED_VERSION_AFTER_US
 
@@ -68,7 +69,7 @@
         Guards claims and approvals that would take a route edited on both sides of a partition.
         """
         rule, _ = found
-        if rule.mode == "idem":
+        if rule.mode is Mode.IDEM:
             return False
         merged = (self.staged[version] for version in self.merged_versions if version in self.staged)
         matches = (table.match(host, target, key) for table in merged)
--- a/lapisgrade/gateway/routing/upstream_protocol.py
+++ b/lapisgrade/gateway/routing/upstream_protocol.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from lapisgrade.gateway.configuration import Mode
 from lapisgrade.net.close_reason import CloseReason
 from lapisgrade.net.events import ClientRequest
 from lapisgrade.net.http import Message
@@ -129,7 +130,7 @@
         if status < 200 or not is_framed:
             return CloseReason.MALFORMED
         # A server's error is final where the request may run only once; else another may do better.
-        may_retry = status >= 500 and attempt.operation.rule.mode == "idem"
+        may_retry = status >= 500 and attempt.operation.rule.mode is Mode.IDEM
         return CloseReason.ERROR_RESPONSE if may_retry else CloseReason.CLIENT_ERROR
 
     def keep_alive_us(self, message: Message) -> int:
--- a/lapisgrade/lab/explore/rejoin.py
+++ b/lapisgrade/lab/explore/rejoin.py
@@ -45,7 +45,7 @@
         """Return a route of that name."""
         return {
             "Name": name,
-            "Mode": self.choice(["idem", "mutate"]),
+            "Mode": self.choice(["idem", "mutate", "keyed"]),
             "Prio": self.randrange(3),
             "Match": {"Pfx": f"/{name}/{self.randrange(2)}/"},
             "Action": {**self.split(), "Timeout": f"{self.randrange(1, 3)}s"},
--- a/tests/compatibility/samples.py
+++ b/tests/compatibility/samples.py
@@ -1025,6 +1025,7 @@
         "RetryRatio": 0.25,
         "RetryWindow": "9s",
         "RetryExtra": 19,
+        "KeyWin": "45s",
         "QuotaWin": "4s",
         "QuotaExcess": 0.05,
         "QuotaExtra": 18.5,
@@ -1054,6 +1055,7 @@
         retry_ratio=0.25,
         retry_window=settings.Span(9_000_000),
         retry_extra=19,
+        key_win=settings.Span(45_000_000),
         quota_win=settings.Span(4_000_000),
         quota_excess=0.05,
         quota_extra=18.5,
@@ -1085,6 +1087,7 @@
         retry_ratio=0.2,
         retry_window=settings.Span(10_000_000),
         retry_extra=20.0,
+        key_win=settings.Span(60_000_000),
         quota_win=settings.Span(5_000_000),
         quota_excess=0.1,
         quota_extra=20.0,
@@ -1125,7 +1128,7 @@
             ],
         }
     ],
-    "Pools": [{"Name": "s-1", "Hcheck": "/alive", "Maxconn": 90}, {"Name": "s-2"}],
+    "Pools": [{"Name": "s-1", "Hcheck": "/alive", "Maxconn": 90, "Dedup": True}, {"Name": "s-2"}],
     "Tenants": [{"Name": "t-1", "Apikeys": ["k-1", "k-2"], "Prio": 5, "RateS": 6.5, "Burst": 7.5}],
     "Caps": {"HdrBytes": 4096, "BodyBytes": 8192, "Hdr": "1s", "Idle": "2s"},
     "Unknown": "is passed over",
@@ -1165,8 +1168,8 @@
         ),
     ),
     pools=(
-        configuration.Pool(name="s-1", hcheck="/alive", maxconn=90),
-        configuration.Pool(name="s-2", hcheck="/healthz", maxconn=100),
+        configuration.Pool(name="s-1", hcheck="/alive", maxconn=90, dedup=True),
+        configuration.Pool(name="s-2", hcheck="/healthz", maxconn=100, dedup=False),
     ),
     tenants=(configuration.Tenant(name="t-1", apikeys=("k-1", "k-2"), prio=5, rate_s=6.5, burst=7.5),),
     caps=configuration.Caps(
--- a/tests/gateway/test_configuration.py
+++ b/tests/gateway/test_configuration.py
@@ -1,8 +1,11 @@
 """Reading a configuration."""
 
+import pytest
 from support.configurations import changed, with_rule
 
 from lapisgrade.gateway import configuration
+from lapisgrade.gateway.configuration import Mode
+from lapisgrade.gateway.errors import ConfigurationError
 
 
 def test_every_field_of_the_protocol_is_read():
@@ -28,3 +31,23 @@
 
 def test_a_route_of_mode_keyed_does_not_have_a_configuration_refused():
     assert configuration.read(with_rule(Mode="keyed")).ports[0].policy[0].mode == "keyed"
+
+
+def test_an_unknown_mode_is_refused_with_the_modes_that_there_are():
+    with pytest.raises(ConfigurationError) as caught:
+        configuration.read(with_rule(Mode="often"))
+    assert "'often' is no mode, as idem, mutate and keyed are" in str(caught.value)
+    for mode in Mode:
+        assert mode.value in str(caught.value)
+
+
+@pytest.mark.parametrize("value", ["yes", 1, None])
+def test_whether_a_service_keeps_keys_is_true_or_false_and_nothing_else(value):
+    with pytest.raises(ConfigurationError) as caught:
+        configuration.read(changed(Pools=[{"Name": "garantie", "Dedup": value}, {"Name": "reports"}]))
+    assert "is not of the kind bool" in str(caught.value)
+
+
+def test_a_service_keeps_no_keys_unless_it_says_so():
+    pools = [{"Name": "garantie", "Dedup": True}, {"Name": "reports"}]
+    assert [pool.dedup for pool in configuration.read(changed(Pools=pools)).pools] == [True, False]
