Operations: the leader records claims in batches, and all controllers apply them

The design's controller side: State has the table of claims, the state machine applies ClaimOperations, and OperationClaims gathers the claims of 20 ms into one log entry.

--- a/lapisgrade/gateway/controller/change_validation.py
+++ b/lapisgrade/gateway/controller/change_validation.py
@@ -15,13 +15,26 @@
 from lapisgrade.gateway.controller.commands import ConfigurationChange
 from lapisgrade.gateway.controller.state import State
 from lapisgrade.gateway.errors import InvalidInputError
+from lapisgrade.gateway.operations.table import ClaimResult
 
 
 class ApplyResult(msgspec.Struct, array_like=True, frozen=True):
-    """What came of a command: an HTTP status, and what is wrong where that is no success."""
+    """What came of a command.
+
+    Attributes:
+        status: An HTTP status.
+        wrong: What is wrong where that is no success.
+        claim_results: Of `ClaimOperations`, for each of its claims in order; None for all other commands.
+    """
 
     status: int
     wrong: str = ""
+    claim_results: list[ClaimResult] | None = None
+
+    @property
+    def concerns_claims_alone(self) -> bool:
+        """Whether the command changed nothing but the table of operations, which no watcher sees."""
+        return self.claim_results is not None
 
 
 class ValidatedChange(msgspec.Struct, frozen=True):
--- a/lapisgrade/gateway/controller/consensus_driver.py
+++ b/lapisgrade/gateway/controller/consensus_driver.py
@@ -237,7 +237,8 @@
         if entry.data:
             result = self._state_machine.apply(entry.index, entry.data)
             self._metrics.entries_applied += 1
-            self._on_applied()
+            if not result.concerns_claims_alone:
+                self._on_applied()
         future = self._pending_proposals.pop((entry.index, entry.term), None)
         if future is not None and not future.done():
             future.set_result(result)
--- a/lapisgrade/gateway/controller/metrics.py
+++ b/lapisgrade/gateway/controller/metrics.py
@@ -23,6 +23,12 @@
         drafts_delivered: Drafts that were committed to the log and removed from this disk.
         calls: Calls of servers and operators over HTTP, by name.
         call_replies: Replies to them, by name and HTTP status.
+        claim_batches: Log entries that this leader made of claims of operation keys.
+        claims_granted: Claims that were answered with their own attempt, also one that is sent again.
+        claims_held_by_another: Claims that were answered with another attempt.
+        claims_without_room: Claims that were not recorded, as the table or the tenant's part of it is full.
+        claims_unknown: Claims whose outcome this leader couldn't tell.
+        claims_invalid: Claims that were refused as malformed.
     """
 
     elections_won: int = 0
@@ -38,6 +44,12 @@
     drafts_delivered: int = 0
     calls: Counter[str] = msgspec.field(default_factory=Counter)
     call_replies: Counter[str] = msgspec.field(default_factory=Counter)
+    claim_batches: int = 0
+    claims_granted: int = 0
+    claims_held_by_another: int = 0
+    claims_without_room: int = 0
+    claims_unknown: int = 0
+    claims_invalid: int = 0
 
     def nonzero(self) -> dict[str, Any]:
         """Every metric that was counted at least once, by name."""
--- /dev/null
+++ b/lapisgrade/gateway/controller/operation_claims.py
@@ -0,0 +1,143 @@
+"""The leader's part in keyed operations: records which attempt holds an operation key.
+
+Claims that come within `GATHER_S` share one log entry, and one batch is in flight at a time: a claim costs
+some bytes of the log, not a sync and a round of messages of its own. Who holds the key is told once that
+entry is applied, so that it is on a majority of the disks; what is in the applied table already is answered
+at once, under the lease. What decides is in `operations.claim_batches` and `operations.table`.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from lapisgrade.gateway.controller.commands import ClaimOperations, encode_command
+from lapisgrade.gateway.controller.consensus_driver import ConsensusDriver
+from lapisgrade.gateway.controller.leader_discovery import LeaderDiscovery
+from lapisgrade.gateway.controller.metrics import ControllerMetrics
+from lapisgrade.gateway.controller.state_machine import StateMachine
+from lapisgrade.gateway.operations.claim_batches import (
+    MAX_BATCH_CLAIMS,
+    MAX_WAITING_CLAIMS,
+    LeadershipClock,
+    is_valid,
+    known_holder,
+)
+from lapisgrade.gateway.operations.table import Claim, ClaimResult
+from lapisgrade.gateway.rpc_messages import ClaimReply, ClaimRequest
+from lapisgrade.gateway.settings import Settings
+
+GATHER_S = 0.02  # that a claim waits for others; far below the aims of requests, and half the syncs of 0.01
+RETENTION_MARGIN_US = 15_000_000
+"""That a record is kept beyond the window: the second attempt's own time, and clocks of differing pace."""
+
+
+class PendingClaim(msgspec.Struct, frozen=True):
+    """A claim that waits for its batch, and where its result goes; None for one that isn't known."""
+
+    claim: Claim
+    result: asyncio.Future[ClaimResult | None]
+
+
+class OperationClaims:
+    """Answers the claims of proxies on the leader, and redirects them elsewhere."""
+
+    def __init__(
+        self,
+        consensus: ConsensusDriver,
+        state_machine: StateMachine,
+        discovery: LeaderDiscovery,
+        settings: Callable[[], Settings],
+        clock: Callable[[], int],
+        metrics: ControllerMetrics,
+    ) -> None:
+        """`settings` returns those in force; `clock` tells the steady time in us."""
+        self._consensus = consensus
+        self._state_machine = state_machine
+        self._discovery = discovery
+        self._settings = settings
+        self._clock = clock
+        self._metrics = metrics
+        self._leadership_clock = LeadershipClock()
+        self._waiting: list[PendingClaim] = []
+        self._batch_task: asyncio.Task[None] | None = None  # runs as long as claims wait
+
+    def close(self) -> None:
+        """Record nothing any more."""
+        if self._batch_task is not None:
+            self._batch_task.cancel()
+
+    async def handle_claim(self, request: ClaimRequest) -> ClaimReply:
+        """Return who holds the claim's key, as soon as that is on a majority of the disks."""
+        claim = request.claim
+        if not self._consensus.is_leader():
+            return self._unknown()
+        if not is_valid(claim):
+            self._metrics.claims_invalid += 1
+            return ClaimReply(True)
+        holder = known_holder(self._state_machine.state.operations, claim)
+        if holder is not None:
+            return self._known(claim, ClaimResult(holder.attempt, holder.owner))
+        if len(self._waiting) >= MAX_WAITING_CLAIMS:
+            return self._unknown()
+        result = await self._record(claim)
+        return self._known(claim, result) if result is not None else self._unknown()
+
+    # ---- replies
+
+    def _unknown(self) -> ClaimReply:
+        """Return that nothing is known here, and where else to ask."""
+        self._metrics.claims_unknown += 1
+        return ClaimReply(False, leader_address=self._discovery.remote_leader_address())
+
+    def _known(self, claim: Claim, result: ClaimResult) -> ClaimReply:
+        if not result.attempt:
+            self._metrics.claims_without_room += 1
+        elif result.attempt == claim.attempt:
+            self._metrics.claims_granted += 1
+        else:
+            self._metrics.claims_held_by_another += 1
+        return ClaimReply(True, result.attempt, result.owner)
+
+    # ---- batches
+
+    async def _record(self, claim: Claim) -> ClaimResult | None:
+        """Have a claim recorded with the next batch; None where its outcome is not known."""
+        loop = asyncio.get_running_loop()
+        pending = PendingClaim(claim, loop.create_future())
+        self._waiting.append(pending)
+        if self._batch_task is None:
+            self._batch_task = loop.create_task(self._run_batches())
+        return await pending.result
+
+    async def _run_batches(self) -> None:
+        """Record one batch after another until no claim waits."""
+        try:
+            while self._waiting:
+                await asyncio.sleep(GATHER_S)
+                batch = self._waiting[:MAX_BATCH_CLAIMS]
+                del self._waiting[:MAX_BATCH_CLAIMS]
+                await self._run_batch(batch)
+        finally:
+            self._batch_task = None
+
+    async def _run_batch(self, batch: list[PendingClaim]) -> None:
+        """Record a batch, and pass each claim its result."""
+        results: list[ClaimResult] | None = None
+        try:
+            results = await self._propose([pending.claim for pending in batch])
+        finally:
+            for position, pending in enumerate(batch):
+                if not pending.result.done():
+                    pending.result.set_result(results[position] if results is not None else None)
+
+    async def _propose(self, claims: list[Claim]) -> list[ClaimResult] | None:
+        """Put claims into the log, and return their results once they are applied; None for unknown ones."""
+        if not self._consensus.is_leader():
+            return None
+        elapsed_us = self._leadership_clock.elapsed_us(self._clock(), self._consensus.started_node.term)
+        retention_us = int(self._settings().slo.key_win) + RETENTION_MARGIN_US
+        command = ClaimOperations(elapsed_us, retention_us, claims)
+        self._metrics.claim_batches += 1
+        applied = await self._consensus.propose(encode_command(command))
+        return applied.claim_results if applied is not None else None
--- a/lapisgrade/gateway/controller/server.py
+++ b/lapisgrade/gateway/controller/server.py
@@ -5,6 +5,7 @@
                             DraftService -> DraftDelivery            ConsensusDriver -> LogWriter -> disk
                                  ^                                    ^     |
 RPC (controllers, proxies) ------+----------> WatchService -----------+     +-> StateMachine
+                                 +----------> OperationClaims --------+
 """
 
 import asyncio
@@ -32,6 +33,7 @@
 from lapisgrade.gateway.controller.leader_discovery import ClusterMembership, LeaderDiscovery
 from lapisgrade.gateway.controller.log_writer import LogWriter
 from lapisgrade.gateway.controller.metrics import ControllerMetrics
+from lapisgrade.gateway.controller.operation_claims import OperationClaims
 from lapisgrade.gateway.controller.state_machine import StateMachine
 from lapisgrade.gateway.controller.watch import Watch
 from lapisgrade.gateway.controller.watch_service import WatchService
@@ -126,6 +128,9 @@
             self.consensus, self.state_machine, self.watch_service, self._own_address, clock
         )
         self.forwarder = CallForwarder(self.consensus, leader_calls, discovery, self.rpc, clock)
+        self.operation_claims = OperationClaims(
+            self.consensus, self.state_machine, discovery, self._current_settings, clock, self.metrics
+        )
         self.draft_delivery = self._make_draft_delivery()
         self.drafts = self._make_draft_service()
         self.control_api = ControlApi(self.forwarder, self.drafts, self.metrics)
@@ -228,6 +233,7 @@
         self.draft_delivery.close()
         self.consensus.close()
         self.watch_service.close()
+        self.operation_claims.close()
         if self.storage is not None:
             self.storage.executor.shutdown(wait=True, cancel_futures=True)
             self.storage.log_store.close()
@@ -259,6 +265,8 @@
                 return await self.forwarder.execute_as_leader(message)
             case rpc_messages.CopyDraft():
                 return await self.drafts.store_copy(message)
+            case rpc_messages.ClaimRequest():
+                return await self.operation_claims.handle_claim(message)
             case _:
                 return None
 
--- a/lapisgrade/gateway/controller/state.py
+++ b/lapisgrade/gateway/controller/state.py
@@ -7,6 +7,7 @@
 
 from lapisgrade.gateway.configuration_delta import EncodedVersion, decode, encode
 from lapisgrade.gateway.merge.three_way import Draft, MergeOutcome
+from lapisgrade.gateway.operations.table import OperationTable
 from lapisgrade.gateway.registry import Server
 
 MAX_STAGED_VERSIONS = 8  # beyond it the oldest is dropped, as later versions replace it
@@ -61,6 +62,7 @@
         closed_drafts: Ids of those that were closed since.
         unresolved_drafts: Drafts merged earlier that still have conflicts, and what came of each, by id.
         merged_draft_ids: Ids of the last drafts that were merged, to recognize copies.
+        operations: Which attempts hold which operation keys.
     """
 
     configuration: bytes = b""
@@ -85,6 +87,7 @@
     terminating_proxies: list[str] = []
     previous_owners: list[str] = []
     forgotten_version: int = 0
+    operations: OperationTable = msgspec.field(default_factory=OperationTable)
 
     def stage(self, configuration: bytes, version: int) -> None:
         """Make a configuration the newest one; it waits to come into force."""
--- a/lapisgrade/gateway/controller/state_machine.py
+++ b/lapisgrade/gateway/controller/state_machine.py
@@ -19,6 +19,7 @@
 )
 from lapisgrade.gateway.controller.commands import (
     Activate,
+    ClaimOperations,
     CloseDraft,
     ConfigurationChange,
     LiveProxies,
@@ -104,8 +105,16 @@
                 self.state.activate(command.version)
             case ServerLeaving():
                 self._apply_server_leaving(command)
+            case ClaimOperations():
+                return self._apply_claims(command)
         return _OK
 
+    def _apply_claims(self, command: ClaimOperations) -> ApplyResult:
+        operations = self.state.operations
+        operations.advance(command.elapsed_us, command.retention_us)
+        results = [operations.claim(claim) for claim in command.claims]
+        return ApplyResult(HTTPStatus.OK, claim_results=results)
+
     def _apply_change(self, change: ConfigurationChange) -> ApplyResult:
         validated = self.validate(change)
         if validated.configuration is not None:
--- a/lapisgrade/gateway/operations/table.py
+++ b/lapisgrade/gateway/operations/table.py
@@ -12,6 +12,7 @@
 import msgspec
 
 MAX_RECORDS = 65_536  # operations in their window; some hundred a second for a minute, several times over
+MAX_TENANT_RECORDS = MAX_RECORDS // 2  # of one tenant, so that it can't take all the room
 MAX_KEY_BYTES = 256  # of an operation key, as HTTP brought it
 
 
@@ -51,7 +52,7 @@
     """What became of a claim.
 
     Attributes:
-        attempt: The attempt that holds the key now; empty where the table is full and nothing was recorded.
+        attempt: The attempt that holds the key now; empty where there is no room and nothing was recorded.
         owner: Where its proxy answers other proxies.
     """
 
@@ -59,16 +60,18 @@
     owner: str = ""
 
 
-class OperationTable(msgspec.Struct):
+class OperationTable(msgspec.Struct, array_like=True):
     """The records, in the order in which they were claimed.
 
     Attributes:
         clock_us: The time that leaders have counted.
         records: By `record_id`.
+        tenant_records: How many of them each tenant has, where it has any.
     """
 
     clock_us: int = 0
     records: dict[str, OperationRecord] = {}
+    tenant_records: dict[str, int] = {}
 
     def find(self, tenant: str, key: str) -> OperationRecord | None:
         """Return who holds a key; a record that is beyond its retention may still be there."""
@@ -84,7 +87,7 @@
                 break  # the others were claimed later
             expired.append(name)
         for name in expired:
-            del self.records[name]
+            self._remove(name)
 
     def claim(self, claim: Claim) -> ClaimResult:
         """Record a claim where nobody else holds its key, and return who holds it now."""
@@ -92,13 +95,32 @@
         record = self.records.get(name)
         if record is not None and record.attempt != claim.replaces:
             return ClaimResult(record.attempt, record.owner)
-        if record is None and len(self.records) >= MAX_RECORDS:
+        if record is not None:
+            self._remove(name)  # the newest stands last
+        elif not self._has_room(claim.tenant):
             return ClaimResult()
-        self.records.pop(name, None)  # the newest stands last
         self.records[name] = OperationRecord(claim.attempt, claim.owner, self.clock_us)
+        self.tenant_records[claim.tenant] = self.tenant_records.get(claim.tenant, 0) + 1
         return ClaimResult(claim.attempt, claim.owner)
 
+    def _has_room(self, tenant: str) -> bool:
+        has_tenant_room = self.tenant_records.get(tenant, 0) < MAX_TENANT_RECORDS
+        return has_tenant_room and len(self.records) < MAX_RECORDS
+
+    def _remove(self, name: str) -> None:
+        del self.records[name]
+        tenant = tenant_of(name)
+        remaining = self.tenant_records.pop(tenant) - 1
+        if remaining:
+            self.tenant_records[tenant] = remaining
+
 
 def record_id(tenant: str, key: str) -> str:
     """Return the name of an operation's record; different for any two pairs."""
     return f"{len(tenant)}:{tenant}{key}"
+
+
+def tenant_of(name: str) -> str:
+    """Return the tenant of a `record_id`."""
+    length, _, rest = name.partition(":")
+    return rest[: int(length)]
