Membership: a learner joins if it keeps up, not only if it has all that is committed

Change: a learner may join if it has what was committed an election time-out ago (thesis, 4.2.1). That a majority of the voters after the change has all that is committed stays a condition. Not changed: an orderly leave where the remaining majority is 40 ms slower than the stream still waits.

--- a/lapisgrade/gateway/consensus/membership.py
+++ b/lapisgrade/gateway/consensus/membership.py
@@ -30,6 +30,7 @@
     peers: Mapping[str, PeerStatus]  # all others that talk to the leader, voters and learners
     leaving: set[str]  # identities of those that shut down in order
     commit_index: int
+    earlier_commit_index: int  # the commit index an election time-out ago
 
     def live(self) -> set[str]:
         """The leader and all that it has heard from lately."""
@@ -48,6 +49,23 @@
             if peer.match_index >= self.commit_index and name in live
         }
 
+    def learners(self) -> list[str]:
+        """The nodes that may become voters: live, and less than an election time-out behind.
+
+        While entries come all the time, a node that is a round trip away never has all that is committed;
+        what counts is that it keeps up (thesis, 4.2.1). That a majority after the change has what was
+        committed is another matter, see `next_voters`.
+        """
+        live = self.live()
+        return [
+            name
+            for name, peer in self.peers.items()
+            if name not in self.voters
+            and name in live
+            and name not in self.leaving
+            and peer.match_index >= self.earlier_commit_index
+        ]
+
 
 def next_voters(view: ClusterView) -> dict[str, str] | None:
     """The voters after the next change, None where none is needed or safe."""
@@ -65,10 +83,7 @@
 
 
 def _voters_after_departure_or_join(view: ClusterView) -> dict[str, str] | None:
-    voters, live, caught_up = view.voters, view.live(), view.caught_up()
-    learners = [
-        name for name in view.peers if name not in voters and name in caught_up and name not in view.leaving
-    ]
+    voters, live, learners = view.voters, view.live(), view.learners()
     displaced = [name for name in voters if _is_displaced(view, name)]
     unresponsive = [name for name in voters if name not in live]
     leaving = [name for name in voters if name in view.leaving and name != view.identity]
--- a/lapisgrade/gateway/consensus/reconfiguration.py
+++ b/lapisgrade/gateway/consensus/reconfiguration.py
@@ -1,17 +1,29 @@
 """The leader's part in changes of voters: who joins, who leaves, and the next change (thesis, chapter 4)."""
 
+from collections import deque
+
+import msgspec
+
 from lapisgrade.gateway.consensus.membership import ClusterView, next_voters
 from lapisgrade.gateway.consensus.messages import Entry, JoinRequest, LeaderHint, LeaveRequest
 from lapisgrade.gateway.consensus.progress import FollowerProgress
 from lapisgrade.gateway.consensus.replication import Replication
 from lapisgrade.gateway.consensus.state import NodeState
+from lapisgrade.gateway.consensus.timing import ELECTION_TIMEOUT_US, HEARTBEAT_INTERVAL_US
 
 MAX_FOLLOWERS = 64
 """Nodes that a leader replicates to; a flood of join requests takes no more of its memory."""
 
 
+class PastCommit(msgspec.Struct, frozen=True):
+    """The commit index at some time."""
+
+    time_us: int
+    commit_index: int
+
+
 class Reconfiguration:
-    """Makes changes of voters while the node is the leader; owns who is leaving."""
+    """Makes changes of voters while the node is the leader; owns who is leaving, and past commit indices."""
 
     def __init__(self, state: NodeState, replication: Replication) -> None:
         """Make the part of a node that changes the voters.
@@ -23,10 +35,12 @@
         self.state = state
         self._replication = replication
         self._leaving: set[str] = set()  # identities of nodes that shut down in order
+        self._past_commits: deque[PastCommit] = deque()  # the first is an election time-out old, if any is
 
     def start(self) -> None:
         """Begin to lead."""
         self._leaving = set()
+        self._past_commits.clear()
 
     def on_join(self, request: JoinRequest) -> None:
         """Replicate to a node that wants to join; a follower says who the leader is."""
@@ -54,6 +68,7 @@
     def change_voters(self) -> None:
         """Make the next change of voters, if one is needed and safe."""
         state, replication = self.state, self._replication
+        self._note_commit_index()
         if self.is_change_pending():
             return
         voters = next_voters(self._view())
@@ -72,6 +87,19 @@
             or state.commit_index < self._replication.first_index
         )
 
+    def _note_commit_index(self) -> None:
+        state, past = self.state, self._past_commits
+        if not past or state.now_us - past[-1].time_us >= HEARTBEAT_INTERVAL_US:  # bounds how many are kept
+            past.append(PastCommit(state.now_us, state.commit_index))
+        while len(past) > 1 and state.now_us - past[1].time_us >= ELECTION_TIMEOUT_US:
+            past.popleft()
+
+    def _earlier_commit_index(self) -> int:
+        """Return the commit index an election time-out ago; that of now where nothing is as old."""
+        past = self._past_commits
+        is_old = bool(past) and self.state.now_us - past[0].time_us >= ELECTION_TIMEOUT_US
+        return past[0].commit_index if is_old else self.state.commit_index
+
     def _view(self) -> ClusterView:
         state = self.state
         return ClusterView(
@@ -82,6 +110,7 @@
             dict(self._replication.followers),
             self._leaving,
             state.commit_index,
+            self._earlier_commit_index(),
         )
 
     def _update_followers(self, voters: dict[str, str]) -> None:
