--- a/lapisgrade/gateway/controller/leader_calls.py
+++ b/lapisgrade/gateway/controller/leader_calls.py
@@ -129,7 +129,9 @@
         watch = self.watch_service.watch
         servers = list(watch.registry.servers.values())
         status = status_report(self.clock(), self._state_machine.state, watch.proxies, servers)
-        return ForwardCallReply(HTTPStatus.OK, msgspec.json.encode({**status, **self._voter_status()}))
+        operations = {"Operations": len(self._state_machine.state.operations.records)}
+        report = {**status, **self._voter_status(), **operations}
+        return ForwardCallReply(HTTPStatus.OK, msgspec.json.encode(report))
 
     def _voter_status(self) -> dict[str, object]:
         """Return who leads, and the voters that a majority is counted of."""
--- a/lapisgrade/gateway/controller/status_report.py
+++ b/lapisgrade/gateway/controller/status_report.py
@@ -16,7 +16,6 @@
         "InForce": state.active_version,
         "Proxies": [_proxy_report(now_us, name, proxy) for name, proxy in sorted(proxies.items())],
         "Servers": _server_report(servers),
-        "Operations": len(state.operations.records),
     }
 
 
--- a/tests/compatibility/samples.py
+++ b/tests/compatibility/samples.py
@@ -23,6 +23,7 @@
 from lapisgrade.gateway.membership import gossip, partial_view
 from lapisgrade.gateway.merge import fields as merge_fields
 from lapisgrade.gateway.merge import three_way
+from lapisgrade.gateway.operations import outcomes, table
 from lapisgrade.gateway.storage import log_format
 from lapisgrade.members import host
 from lapisgrade.members import messages as member_messages
@@ -215,6 +216,34 @@
         rpc_messages.Message,
     ),
     "rpc/copy-draft-reply": Sample(rpc_messages.CopyDraftReply(is_stored=True), rpc_messages.Message),
+    "rpc/claim-request": Sample(
+        rpc_messages.ClaimRequest(
+            claim=table.Claim(
+                tenant="text-673", key="text-674", attempt="text-675", owner="text-676", replaces="text-677"
+            )
+        ),
+        rpc_messages.Message,
+    ),
+    "rpc/claim-reply": Sample(
+        rpc_messages.ClaimReply(
+            is_known=True, attempt="text-679", owner="text-680", leader_address="text-681"
+        ),
+        rpc_messages.Message,
+    ),
+    "rpc/outcome-request": Sample(
+        rpc_messages.OutcomeRequest(attempt="text-682", wait_us=1683), rpc_messages.Message
+    ),
+    "rpc/outcome-reply": Sample(
+        rpc_messages.OutcomeReply(
+            outcome=outcomes.Outcome(
+                state=outcomes.OutcomeState.ANSWERED,
+                status=1685,
+                header_lines=b"bytes-686",
+                body=b"bytes-687",
+            )
+        ),
+        rpc_messages.Message,
+    ),
 }
 
 CONSENSUS_MESSAGES = {
@@ -416,6 +445,29 @@
         commands.LogCommand,
     ),
     "entry/close-draft": Sample(commands.CloseDraft(draft_id="text-295"), commands.LogCommand),
+    "entry/claim-operations": Sample(
+        commands.ClaimOperations(
+            elapsed_us=1688,
+            retention_us=1689,
+            claims=[
+                table.Claim(
+                    tenant="text-690",
+                    key="text-691",
+                    attempt="text-692",
+                    owner="text-693",
+                    replaces="text-694",
+                ),
+                table.Claim(
+                    tenant="text-695",
+                    key="text-696",
+                    attempt="text-697",
+                    owner="text-698",
+                    replaces="text-699",
+                ),
+            ],
+        ),
+        commands.LogCommand,
+    ),
 }
 
 GOSSIP_MESSAGES = {
@@ -652,6 +704,13 @@
             terminating_proxies=["text-478", "text-479"],
             previous_owners=["text-480", "text-481"],
             forgotten_version=1482,
+            operations=table.OperationTable(
+                clock_us=1700,
+                records={
+                    "text-701": table.OperationRecord(attempt="text-702", owner="text-703", claimed_us=1704)
+                },
+                tenant_records={"text-705": 1706},
+            ),
         ),
         state.State,
     ),
@@ -810,6 +869,15 @@
                 terminating_proxies=["text-606", "text-607"],
                 previous_owners=["text-608", "text-609"],
                 forgotten_version=1610,
+                operations=table.OperationTable(
+                    clock_us=1707,
+                    records={
+                        "text-708": table.OperationRecord(
+                            attempt="text-709", owner="text-710", claimed_us=1711
+                        )
+                    },
+                    tenant_records={"text-712": 1713},
+                ),
             ),
             configuration=b"bytes-611",
             active_configuration=configuration_delta.EncodedVersion(
--- a/tests/compatibility/test_encoded_messages.py
+++ b/tests/compatibility/test_encoded_messages.py
@@ -1,7 +1,9 @@
 """Messages between our own processes, durable records and log entries are encoded as they always were.
 
 `data/encoded.json` holds the bytes, in hexadecimal, that revision 761b3d6 made of each sample;
-`data/defaults.json` those that it made of the same bytes without the fields that may be left out.
+`data/defaults.json` those that it made of the same bytes without the fields that may be left out. The bytes
+of types and fields that came later were made as they came; `data/earlier.json` holds what revision 761b3d6
+made of samples that have had a further field since.
 """
 
 import json
@@ -11,10 +13,13 @@
 import msgspec
 import pytest
 
+from lapisgrade.gateway.operations.table import OperationTable
+
 from . import samples
 
 DATA = Path(__file__).parent / "data"
 ENCODED: dict[str, str] = json.loads((DATA / "encoded.json").read_text())
+EARLIER: dict[str, str] = json.loads((DATA / "earlier.json").read_text())
 DEFAULTS: dict[str, dict[str, Any]] = json.loads((DATA / "defaults.json").read_text())
 
 
@@ -47,6 +52,17 @@
         msgspec.msgpack.decode(msgspec.msgpack.encode(fields[: required - 1]), type=decoded_as)
 
 
+def test_bytes_of_an_earlier_revision_are_decoded_to_the_sample_without_its_later_fields():
+    whole = {name: samples.ALL_SAMPLES[name] for name in EARLIER}
+    state = msgspec.structs.replace(whole["state/state"].instance, operations=OperationTable())
+    saved = whole["state/saved-state"].instance
+    saved = msgspec.structs.replace(
+        saved, state=msgspec.structs.replace(saved.state, operations=OperationTable())
+    )
+    for name, expected in (("state/state", state), ("state/saved-state", saved)):
+        assert msgspec.msgpack.decode(bytes.fromhex(EARLIER[name]), type=whole[name].decoded_as) == expected
+
+
 def test_state_saved_without_fields_takes_the_same_defaults():
     decoded = msgspec.msgpack.decode(b"\x80", type=samples.ALL_SAMPLES["state/state"].decoded_as)
     expected = json.loads((DATA / "empty_state.json").read_text())
@@ -78,4 +94,5 @@
         "leaving",
         "prior_owners",
         "forgotten",
+        "operations",
     ]
--- a/tests/gateway/cli/test_commands.py
+++ b/tests/gateway/cli/test_commands.py
@@ -95,7 +95,7 @@
 async def test_json_output_has_the_documented_keys() -> None:
     async with serving_cluster() as site:
         where = f"--ctl={site.ip['m1']}:{CTL}"
-        status = {"Newest", "InForce", "Proxies", "Servers", "Leader", "Term", "Voters"}
+        status = {"Newest", "InForce", "Proxies", "Servers", "Leader", "Term", "Voters", "Operations"}
         for word, names in (("status", status), ("drafts", {"Leader", "Newest", "Drafts"})):
             arguments = (sys.executable, "-m", "lapisgrade.gateway", word, where, "--json")
             child = await asyncio.create_subprocess_exec(*arguments, stdout=asyncio.subprocess.PIPE)
--- /dev/null
+++ b/tests/gateway/operations/test_table.py
@@ -0,0 +1,124 @@
+"""Which attempt holds an operation key: claims, take-overs, expiry by the log's clock, and the bounds."""
+
+from unittest import mock
+
+import msgspec
+import pytest
+
+from lapisgrade.gateway.operations import table as table_module
+from lapisgrade.gateway.operations.claim_batches import LeadershipClock, is_valid, known_holder
+from lapisgrade.gateway.operations.table import (
+    MAX_KEY_BYTES,
+    Claim,
+    ClaimResult,
+    OperationTable,
+    record_id,
+    tenant_of,
+)
+
+OWNER = "10.0.0.1:7661"
+RETENTION_US = 75_000_000
+
+
+def claim(attempt: str, replaces: str = "", tenant: str = "sfax", key: str = "k-1") -> Claim:
+    return Claim(tenant, key, attempt, OWNER, replaces)
+
+
+def holder_after(table: OperationTable, *claims: Claim) -> str:
+    return [table.claim(each) for each in claims][-1].attempt
+
+
+def test_first_claim_holds_the_key_and_each_later_one_is_told_so():
+    table = OperationTable()
+    assert table.claim(claim("a")) == ClaimResult("a", OWNER)
+    assert table.claim(msgspec.structs.replace(claim("b"), owner="10.0.0.2:7661")) == ClaimResult("a", OWNER)
+    assert holder_after(table, claim("a")) == "a"  # sent again
+
+
+def test_key_is_taken_over_from_exactly_the_attempt_that_is_named():
+    table = OperationTable()
+    assert holder_after(table, claim("a"), claim("b", "x")) == "a"
+    assert holder_after(table, claim("b", "a")) == "b"
+    assert holder_after(table, claim("c", "a")) == "b"  # it comes second
+    assert holder_after(table, claim("a")) == "b"  # the attempt that was replaced tries again
+    assert holder_after(table, claim("b", "a")) == "b"  # the take-over is sent again
+    assert table.tenant_records == {"sfax": 1}
+
+
+def test_keys_of_different_tenants_are_different_operations():
+    table = OperationTable()
+    assert holder_after(table, claim("a"), claim("b", tenant="siege")) == "b"
+    assert record_id("1:a", "b") != record_id("1", ":ab")
+    assert [tenant_of(record_id(tenant, "2:k")) for tenant in ("", "3:x", "sfax")] == ["", "3:x", "sfax"]
+
+
+@pytest.mark.parametrize(("elapsed_us", "holder"), [(RETENTION_US, "a"), (RETENTION_US + 1, "b")])
+def test_record_is_dropped_once_it_is_older_than_its_retention(elapsed_us: int, holder: str):
+    table = OperationTable()
+    table.claim(claim("a"))
+    table.advance(elapsed_us, RETENTION_US)
+    assert holder_after(table, claim("b")) == holder
+    assert table.tenant_records == {"sfax": 1}
+
+
+def test_take_over_begins_the_retention_anew():
+    table = OperationTable()
+    table.claim(claim("a"))
+    table.claim(claim("z", key="k-2"))
+    table.advance(RETENTION_US, RETENTION_US)
+    table.claim(claim("b", "a"))
+    table.advance(RETENTION_US, RETENTION_US)
+    assert [holder_after(table, claim("c", key=key)) for key in ("k-1", "k-2")] == ["b", "c"]
+
+
+def test_clock_counts_only_time_under_one_leader_and_never_runs_backwards():
+    clock, table = LeadershipClock(), OperationTable()
+    counted = [
+        clock.elapsed_us(now_us, term)
+        for now_us, term in ((9_000_000, 3), (9_500_000, 3), (60_000_000, 5), (59_000_000, 5))
+    ]
+    assert counted == [0, 500_000, 0, 0]
+    assert LeadershipClock().elapsed_us(9_000_000, 1) == 0  # a process that was restarted leads at once
+    table.advance(-5, RETENTION_US)
+    assert table.clock_us == 0
+
+
+def test_full_table_records_nothing_more_and_gives_room_back():
+    with (
+        mock.patch.object(table_module, "MAX_RECORDS", 4),
+        mock.patch.object(table_module, "MAX_TENANT_RECORDS", 3),
+    ):
+        table = OperationTable()
+        granted = [table.claim(claim(f"a{number}", key=f"k-{number}")).attempt for number in range(4)]
+        assert granted == ["a0", "a1", "a2", ""]  # one tenant has its part
+        others = [table.claim(claim(key, tenant="siege", key=key)).attempt for key in ("b", "c")]
+        assert others == ["b", ""]
+        assert holder_after(table, claim("d", "a1", key="k-1")) == "d"  # a take-over needs no room
+        table.advance(RETENTION_US + 1, RETENTION_US)
+        assert (table.records, table.tenant_records) == ({}, {})
+
+
+def test_what_is_held_is_known_without_a_log_entry_but_for_its_take_over():
+    table = OperationTable()
+    assert known_holder(table, claim("a")) is None
+    table.claim(claim("a"))
+    assert [known_holder(table, each).attempt for each in (claim("a"), claim("b"), claim("b", "x"))] == [
+        "a"
+    ] * 3
+    assert known_holder(table, claim("b", "a")) is None
+
+
+def test_malformed_claims_are_told_apart():
+    good = claim("a")
+    assert is_valid(good)
+    faults = [
+        {"key": ""},
+        {"key": "é" * (MAX_KEY_BYTES // 2 + 1)},
+        {"attempt": ""},
+        {"attempt": "a" * 65},
+        {"replaces": "a" * 65},
+        {"tenant": "t" * 129},
+        {"owner": "nowhere"},
+        {"owner": "h" * 64 + ":1"},
+    ]
+    assert not any(is_valid(msgspec.structs.replace(good, **fault)) for fault in faults)
