--- a/lapisgrade/gateway/consensus/log.py
+++ b/lapisgrade/gateway/consensus/log.py
@@ -21,6 +21,7 @@
         self.snapshot_state = b""
         self.entries: list[Entry] = []
         self._voter_changes: list[Entry] = []  # those of `entries` that change the voters
+        self.data_bytes = 0  # in `entries`
 
     @property
     def last_index(self) -> int:
@@ -38,11 +39,6 @@
         newest = self._voter_changes[-1].voters if self._voter_changes else None
         return self.snapshot_voters if newest is None else newest
 
-    @property
-    def data_bytes(self) -> int:
-        """Bytes of data in the entries."""
-        return sum(len(each.data) for each in self.entries)
-
     def has_voter_change_after(self, index: int) -> bool:
         """Whether an entry after `index` changes the voters."""
         return bool(self._voter_changes) and self._voter_changes[-1].index > index
@@ -69,20 +65,25 @@
             return
         self.truncate(fresh[0].index - 1)
         self.entries += fresh
+        self.data_bytes += _data_bytes(fresh)
         self._voter_changes += [each for each in fresh if each.voters is not None]
 
     def truncate(self, last: int) -> None:
         """Drop every entry after `last`."""
-        del self.entries[max(0, last - self.snapshot_index) :]
+        kept = max(0, last - self.snapshot_index)
+        self.data_bytes -= _data_bytes(self.entries[kept:])
+        del self.entries[kept:]
         while self._voter_changes and self._voter_changes[-1].index > last:
             self._voter_changes.pop()
 
     def compact(self, index: int, state: bytes) -> None:
         """Replace the entries up to `index` by a snapshot of the state after them."""
         term = self.term_at(index)
-        for entry in self.entries_between(self.snapshot_index, index):
+        covered = self.entries_between(self.snapshot_index, index)
+        for entry in covered:
             if entry.voters is not None:
                 self.snapshot_voters = entry.voters
+        self.data_bytes -= _data_bytes(covered)
         del self.entries[: index - self.snapshot_index]
         self._voter_changes = [each for each in self._voter_changes if each.index > index]
         self.snapshot_index = index
@@ -97,4 +98,9 @@
         self.snapshot_voters = voters
         self.snapshot_state = state
         self.entries = following
+        self.data_bytes = _data_bytes(following)
         self._voter_changes = [each for each in following if each.voters is not None]
+
+
+def _data_bytes(entries: list[Entry]) -> int:
+    return sum(len(each.data) for each in entries)
--- a/lapisgrade/gateway/consensus/node.py
+++ b/lapisgrade/gateway/consensus/node.py
@@ -178,10 +178,14 @@
         """Whether no other leader can have been elected yet, and all that was committed before is known."""
         return self.replication.has_lease()
 
-    @property
-    def needs_compaction(self) -> bool:
-        """Whether it is time for a snapshot."""
-        return self.compaction.is_due()
+    def needs_compaction(self, light_entries: int = 0) -> bool:
+        """Whether it is time for a snapshot.
+
+        Args:
+            light_entries: how many of the committed entries after the last snapshot are applied much faster
+                than a change of the configuration; the shell knows what they mean.
+        """
+        return self.compaction.is_due(light_entries)
 
     @property
     def next_tick_us(self) -> int:
--- a/lapisgrade/gateway/controller/consensus_driver.py
+++ b/lapisgrade/gateway/controller/consensus_driver.py
@@ -101,6 +101,7 @@
             tuple[int, int], asyncio.Future[ApplyResult | None]
         ] = {}  # by index and term
         self._timer: asyncio.TimerHandle | None = None
+        self._light_entries = 0  # applied since the last snapshot, see `Node.needs_compaction`
 
     def start(self, node: Node, log_writer: LogWriter, leader_tasks: LeaderTasks) -> None:
         """Drive that node from the next `step` on."""
@@ -199,8 +200,9 @@
             return
         while self._carry_out_effects(node):
             pass
-        if node.needs_compaction:
+        if node.needs_compaction(self._light_entries):
             node.compact(self._state_machine.dump())
+            self._light_entries = 0
             self._carry_out_effects(node)
         self._follow_leadership(node)
         if self._timer is not None:
@@ -213,6 +215,7 @@
         effects = node.take_effects()
         if effects.snapshot is not None:
             self._state_machine.load(effects.snapshot)
+            self._light_entries = 0
             self._on_applied()
         for entry in effects.committed:
             self._apply(entry)
@@ -237,7 +240,9 @@
         if entry.data:
             result = self._state_machine.apply(entry.index, entry.data)
             self._metrics.entries_applied += 1
-            if not result.concerns_claims_alone:
+            if result.concerns_claims_alone:
+                self._light_entries += 1
+            else:
                 self._on_applied()
         future = self._pending_proposals.pop((entry.index, entry.term), None)
         if future is not None and not future.done():
--- a/lapisgrade/lab/explore/cluster.py
+++ b/lapisgrade/lab/explore/cluster.py
@@ -153,7 +153,7 @@
                 continue
             self._handle(name, node, event)
             self.carry_out_effects(name)
-            if node.needs_compaction:
+            if node.needs_compaction():
                 node.compact(b"|".join(self.applied[name]))
         self.now_us = end_us
 
