--- a/lapisgrade/gateway/controller/leader_calls.py
+++ b/lapisgrade/gateway/controller/leader_calls.py
@@ -135,7 +135,9 @@
         servers = list(watch.registry.servers.values())
         state, last_refused = self._state_machine.state, self._refused_changes.last
         status = status_report(self.clock(), state, last_refused, watch.proxies, servers)
-        return ForwardCallReply(HTTPStatus.OK, msgspec.json.encode({**status, **self._voter_status()}))
+        operations = {"Operations": len(state.operations.records)}
+        report = {**status, **self._voter_status(), **operations}
+        return ForwardCallReply(HTTPStatus.OK, msgspec.json.encode(report))
 
     def _voter_status(self) -> dict[str, object]:
         """Return who leads, and the voters that a majority is counted of."""
--- a/tests/gateway/cli/test_commands.py
+++ b/tests/gateway/cli/test_commands.py
@@ -96,7 +96,7 @@
     async with serving_cluster() as site:
         where = f"--ctl={site.ip['m1']}:{CTL}"
         versions = {"Newest", "InForce", "EverAccepted", "LastRefused"}
-        status = versions | {"Proxies", "Servers", "Leader", "Term", "Voters"}
+        status = versions | {"Proxies", "Servers", "Leader", "Term", "Voters", "Operations"}
         for word, names in (("status", status), ("drafts", {"Leader", "Newest", "Drafts"})):
             arguments = (sys.executable, "-m", "lapisgrade.gateway", word, where, "--json")
             child = await asyncio.create_subprocess_exec(*arguments, stdout=asyncio.subprocess.PIPE)
