--- a/lapisgrade/engine.py
+++ b/lapisgrade/engine.py
@@ -6,6 +6,7 @@
     ready --resumed--> (runs until it waits or ends)
     sleeping --timer, event, or Resume--> ready
     waiting for the counter --counter_replied--> ready
+    waiting for a call --call_finished--> ready
 
 Whatever becomes ready is resumed in the order in which it did so, before the call that made it ready returns.
 """
@@ -18,6 +19,7 @@
     AddToCounter,
     AttemptFinished,
     AttemptResult,
+    Call,
     Cancel,
     Clock,
     Command,
@@ -56,6 +58,13 @@
         """Call `Engine.run_due_timers(ticked=True)` then; replaces what was asked for before."""
 
 
+class Caller(Protocol):
+    """Carries out calls of other processes, for engines whose generators yield `Call`."""
+
+    def call(self, task: "Task", call: Call) -> None:
+        """Start a call; its result comes back by `Engine.call_finished`."""
+
+
 class Task:
     """A generator under way."""
 
@@ -86,12 +95,13 @@
 class Engine:
     """One host's tasks and timers."""
 
-    __slots__ = ("_clock", "_host", "_ready", "_timer_count", "_timers", "_wakeup_us")
+    __slots__ = ("_caller", "_clock", "_host", "_ready", "_timer_count", "_timers", "_wakeup_us")
 
-    def __init__(self, host: Host, clock: Clock) -> None:
-        """Create an engine without tasks; `host` advances `clock`."""
+    def __init__(self, host: Host, clock: Clock, caller: Caller | None = None) -> None:
+        """Create an engine without tasks; `host` advances `clock`, and `caller` carries out each `Call`."""
         self._clock = clock
         self._host = host
+        self._caller = caller
         self._ready: deque[tuple[Task, Any]] = deque()  # with what each is resumed with
         self._timers: list[Timer] = []  # a heap
         self._timer_count = 0
@@ -120,6 +130,11 @@
         self._ready.append((task, reply))
         self._drain()
 
+    def call_finished(self, task: Task, result: Any) -> None:
+        """Resume a task with the result of its call."""
+        self._ready.append((task, result))
+        self._drain()
+
     def run_due_timers(self, ticked: bool = False) -> None:
         """Resume what is due, as the clock has advanced; `ticked`: the wake-up last asked for has come."""
         now_us = self._clock.now_us
@@ -164,6 +179,9 @@
             if isinstance(command, AddToCounter):
                 self._host.add_to_counter(task, command)
                 return
+            if isinstance(command, Call) and self._caller is not None:
+                self._caller.call(task, command)
+                return
             self._carry_out(task, command)
 
     def _carry_out(self, task: Task, command: Command) -> None:
--- a/lapisgrade/gateway/configuration.py
+++ b/lapisgrade/gateway/configuration.py
@@ -58,8 +58,8 @@
 
 def check_mode(_: Any, attribute: Any, value: str) -> None:
     """Validate whether a route's requests may run more than once."""
-    if value not in ("idem", "mutate"):
-        raise ValueError(f"{value!r} is no mode, as idem and mutate are")
+    if value not in ("idem", "mutate", "keyed"):
+        raise ValueError(f"{value!r} is no mode, as idem, mutate and keyed are")
 
 
 @define(frozen=True, slots=True)
--- a/lapisgrade/gateway/operations/outcomes.py
+++ b/lapisgrade/gateway/operations/outcomes.py
@@ -8,11 +8,14 @@
 An attempt that isn't known here (any more) is UNKNOWN: the process may have been restarted since.
 """
 
+from collections.abc import Callable
 from enum import IntEnum
 
 import msgspec
 
 MAX_STORED_BYTES = 8 * 1024 * 1024  # of responses; the oldest are dropped beyond it
+MAX_RESPONSE_BYTES = 256 * 1024  # of one that is kept; a longer one's attempt is UNKNOWN
+MAX_ATTEMPTS = 65_536  # that are kept; the oldest are dropped beyond it
 
 
 class OutcomeState(IntEnum):
@@ -62,6 +65,8 @@
 
     def __init__(self, retention_us: int) -> None:
         """Keep each outcome for so long."""
+        self.on_finished: Callable[[str], None] = _ignore  # called with each attempt that has ended
+        self.running_count = 0  # attempts that are RUNNING
         self._retention_us = retention_us
         self._stored: dict[str, StoredOutcome] = {}  # by attempt, in the order in which they began
         self._bytes = 0
@@ -69,18 +74,23 @@
     def begin(self, now_us: int, attempt: str) -> None:
         """Note an attempt that may run from now on."""
         self._drop_expired(now_us)
+        if len(self._stored) >= MAX_ATTEMPTS:
+            self._drop(next(iter(self._stored)))
         self._stored[attempt] = StoredOutcome(RUNNING, now_us + self._retention_us)
+        self.running_count += 1
 
     def finish(self, now_us: int, attempt: str, outcome: Outcome) -> None:
         """Note what came of an attempt; the first outcome of one that has begun counts."""
         stored = self._stored.get(attempt)
         if stored is None or stored.outcome.state is not OutcomeState.RUNNING:
             return
-        stored.outcome = outcome
-        self._bytes += outcome.size
+        self.running_count -= 1
+        stored.outcome = outcome if outcome.size <= MAX_RESPONSE_BYTES else UNKNOWN
+        self._bytes += stored.outcome.size
         self._drop_expired(now_us)
         while self._bytes > MAX_STORED_BYTES:
             self._drop_oldest_answer()
+        self.on_finished(attempt)
 
     def find(self, attempt: str) -> Outcome:
         """Return what is known of an attempt."""
@@ -101,4 +111,10 @@
         self._drop(next(answered))
 
     def _drop(self, attempt: str) -> None:
-        self._bytes -= self._stored.pop(attempt).outcome.size
+        outcome = self._stored.pop(attempt).outcome
+        self._bytes -= outcome.size
+        self.running_count -= outcome.state is OutcomeState.RUNNING
+
+
+def _ignore(attempt: str) -> None:
+    """Do nothing: nobody waits for the end of attempts."""
--- a/lapisgrade/gateway/operations/table.py
+++ b/lapisgrade/gateway/operations/table.py
@@ -13,6 +13,9 @@
 
 MAX_RECORDS = 65_536  # operations in their window; some hundred a second for a minute, several times over
 MAX_KEY_BYTES = 256  # of an operation key, as HTTP brought it
+# Beyond the window that a claim and its outcome are kept: for the time until an attempt's claim is made, some
+# seconds at most, and for clocks that differ in pace.
+RETENTION_MARGIN_US = 15_000_000
 
 
 class Claim(msgspec.Struct, array_like=True, frozen=True):
--- a/lapisgrade/gateway/proxy/client_front.py
+++ b/lapisgrade/gateway/proxy/client_front.py
@@ -4,6 +4,7 @@
 
 from lapisgrade.gateway import SECOND
 from lapisgrade.gateway.configuration import Caps, Rule, Tenant
+from lapisgrade.gateway.operations.table import MAX_KEY_BYTES
 from lapisgrade.gateway.proxy.context import ProxyContext
 from lapisgrade.gateway.proxy.host import ProxyHost
 from lapisgrade.gateway.routing import upstream_protocol
@@ -52,7 +53,7 @@
         """The request to route; None where it has been refused.
 
         Raises:
-            MalformedMessageError: It has no usable request id.
+            MalformedMessageError: It has no usable request id, or no usable operation key where it needs one.
         """
         now_us, headers = self._now(), message.headers()
         found = self._match(now_us, message.head.target, headers)
@@ -71,6 +72,7 @@
             client.respond_at_once(HTTPStatus.CONFLICT, close=message.last)
             return None
         rule, tenant = found
+        key = operation_key(message) if rule.mode == "keyed" else ""
         return RoutedRequest(
             customer=tenant.name if tenant else "",
             arrived_us=now_us,
@@ -78,6 +80,7 @@
             rule=rule,
             tenant=tenant,
             service=self._router.split.choose(rule),
+            operation_key=key,
             handle=forwarded_request(client, message, headers.get(b"host", b""), request_id, tenant),
         )
 
@@ -99,6 +102,24 @@
     return now_us + max(MIN_TIME_LEFT_US, left_us - RESPONSE_MARGIN_US)
 
 
+def operation_key(message: HttpMessage) -> str:
+    """The operation key of a request on a keyed route.
+
+    Raises:
+        MalformedMessageError: It has none, several, or one that is too long.
+    """
+    fields = message.head.headers.raw_items()
+    keys = {value for name, value in fields if name.lower() == upstream_protocol.OPERATION_KEY}
+    if len(keys) > 1:
+        raise MalformedMessageError("a keyed request with several operation keys")
+    key: bytes = keys.pop() if keys else b""
+    if not key:
+        raise MalformedMessageError("a keyed request without an operation key")
+    if len(key) > MAX_KEY_BYTES:
+        raise MalformedMessageError(f"an operation key longer than {MAX_KEY_BYTES} bytes")
+    return key.decode("latin-1")
+
+
 def forwarded_request(
     client: ClientConnection, message: HttpMessage, host: bytes, request_id: bytes, tenant: Tenant | None
 ) -> upstream_protocol.ForwardedRequest:
--- a/lapisgrade/gateway/proxy/metrics.py
+++ b/lapisgrade/gateway/proxy/metrics.py
@@ -1,5 +1,6 @@
 """What a proxy counts, for its log line at the end of the process and for tests."""
 
+from collections import Counter
 from typing import Any
 
 import msgspec
@@ -25,6 +26,12 @@
         hand_overs_sent: Counts that were handed over to their next owner.
         hand_overs_deferred: Requests for a count that can't be handed over yet.
         hand_overs_received: Counts that were taken over from their last owner.
+        claims_sent: Calls to controllers that claim an operation key; a claim may take several.
+        claims_granted: Claims by which an attempt of this proxy holds the key.
+        claims_held: Claims of keys that another attempt holds.
+        claims_unanswered: Claims that no leader answered in time, or that were too many at once.
+        claims_not_recorded: Claims that the leader has no room for.
+        repeats: Requests whose key another attempt holds, by what was learned of that attempt.
         transport: What the HTTP transports count.
     """
 
@@ -42,6 +49,12 @@
     hand_overs_sent: int = 0
     hand_overs_deferred: int = 0
     hand_overs_received: int = 0
+    claims_sent: int = 0
+    claims_granted: int = 0
+    claims_held: int = 0
+    claims_unanswered: int = 0
+    claims_not_recorded: int = 0
+    repeats: Counter[str] = msgspec.field(default_factory=Counter)
     transport: NetMetrics = msgspec.field(default_factory=NetMetrics)
 
     def nonzero(self) -> dict[str, Any]:
--- a/lapisgrade/gateway/proxy/process.py
+++ b/lapisgrade/gateway/proxy/process.py
@@ -1,7 +1,8 @@
 """One proxy as a process: how its parts are put together, how it starts, and how it shuts down.
 
 Clients' requests go from `client_front` through the host and its router (`routing`) to servers; tenants'
-quotas are counted at their owners over `quota_transport`; `watch_client` asks the controllers for updates,
+quotas are counted at their owners over `quota_transport`; keyed requests are claimed, and their outcomes
+fetched, over `operation_transport`; `watch_client` asks the controllers for updates,
 which `control_updates` applies.
 """
 
@@ -16,11 +17,14 @@
 from lapisgrade.gateway.http_server import HttpReply, HttpServer
 from lapisgrade.gateway.membership.gossip import Gossip
 from lapisgrade.gateway.membership.partial_view import PartialView
+from lapisgrade.gateway.proxy.claim_client import ClaimClient
+from lapisgrade.gateway.proxy.claim_target import ClaimTarget
 from lapisgrade.gateway.proxy.client_front import ClientFront
 from lapisgrade.gateway.proxy.context import ProxyContext
 from lapisgrade.gateway.proxy.control_updates import ControlUpdates
 from lapisgrade.gateway.proxy.host import ProxyHost
 from lapisgrade.gateway.proxy.load_reporter import LoadReporter
+from lapisgrade.gateway.proxy.operation_transport import OperationTransport
 from lapisgrade.gateway.proxy.peer_reachability import PeerReachability
 from lapisgrade.gateway.proxy.quota_transport import QuotaTransport
 from lapisgrade.gateway.proxy.server_list import ServerList
@@ -53,7 +57,8 @@
 
     def __init__(self, settings: Settings, now_us: Callable[[], int] = clock.now_us) -> None:
         random = Random(int.from_bytes(os.urandom(8), "big"))
-        self.context = ProxyContext(settings, random, now_us)
+        incarnation = f"{random.getrandbits(64):016x}"
+        self.context = ProxyContext(settings, random, now_us, incarnation)
         self.inner = settings.internal_address(1)  # where other proxies and the controllers reach this one
         self._shutdown = asyncio.Event()
         self._build_routing(settings)
@@ -64,7 +69,13 @@
         context = self.context
         self.host = ProxyHost(
             lambda host_clock: Router(
-                host_clock, context.random.getrandbits(32), settings.slo, settings.az, settings.hostname
+                host_clock,
+                context.random.getrandbits(32),
+                settings.slo,
+                settings.az,
+                settings.hostname,
+                str(self.inner),
+                context.incarnation,
             ),
             context.now_us,
             context.log_diagnostic,
@@ -80,7 +91,6 @@
         """To the controllers and the other proxies."""
         context = self.context
         self.rpc = self.make_rpc()
-        context.incarnation = f"{context.random.getrandbits(64):016x}"
         self.quota_owner = QuotaOwner(settings.hostname, context.incarnation, context.now_us())
         self.partial_view = PartialView(str(self.inner), settings.az, context.random, context.now_us())
         self.gossip = Gossip(
@@ -105,6 +115,13 @@
         self.host.counter = self.quota_transport = QuotaTransport(
             context, self.host, self.router, self.rpc, self.quota_owner, self.updates, self.reachability
         )
+        self.host.caller = self.operation_transport = OperationTransport(
+            context,
+            self.host,
+            self.rpc,
+            ClaimClient(context, self.rpc, ClaimTarget(context.random, self.watch_target)),
+            self.router.operation_attempts,
+        )
         self.watch_client = WatchClient(
             context,
             str(self.inner),
@@ -182,15 +199,20 @@
         log.info("shutting down: %d connections, %d requests", len(front.clients), len(self.host.unanswered))
         await asyncio.sleep(LAST_CONNECTIONS_S)
         front.close_idle()
-        while (front.clients or self.host.unanswered) and loop.time() < ends:
+        while (front.clients or self._has_requests()) and loop.time() < ends:
             await asyncio.sleep(SHUTDOWN_POLL_S)
             front.close_idle()
 
+    def _has_requests(self) -> bool:
+        """Whether requests are in progress, also those whose clients have left (keyed ones)."""
+        return bool(self.host.unanswered or self.router.operation_attempts.outcomes.running_count)
+
     def _close(self) -> None:
         self.client_front.close()
         self.pool.close()
         self.readiness.close()
         self.quota_transport.close()
+        self.operation_transport.close()
         self.rpc.close()
         self.gossip.close()
 
@@ -256,6 +278,8 @@
             return await self.quota_transport.answer_add(message)
         if isinstance(message, rpc_messages.HandOverRequest):
             return self.quota_transport.answer_hand_over(message)
+        if isinstance(message, rpc_messages.OutcomeRequest):
+            return await self.operation_transport.answer_outcome(message)
         if isinstance(message, rpc_messages.WatchRequest):
             return await self.watch_client.relay(message)
         return None
--- a/lapisgrade/gateway/routing/request.py
+++ b/lapisgrade/gateway/routing/request.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from lapisgrade.gateway.configuration import Rule, Tenant
+from lapisgrade.gateway.operations import outcomes
 from lapisgrade.interface import Operation, Reject
 
 
@@ -20,6 +21,8 @@
     rule: Rule
     tenant: Tenant | None  # None: a public route
     service: str
+    operation_key: str = ""  # set where the route is keyed
+    response: outcomes.Outcome | None = None  # of a keyed request: the server's complete response
 
     @property
     def is_idempotent(self) -> bool:
@@ -32,3 +35,10 @@
     """Answer the client ourselves, with this HTTP status."""
 
     status: HTTPStatus = HTTPStatus.SERVICE_UNAVAILABLE
+
+
+@dataclass(slots=True)
+class RespondAgain(Reject):
+    """Answer the client with the response that an earlier attempt at its operation got from its server."""
+
+    outcome: outcomes.Outcome = outcomes.UNKNOWN
--- a/lapisgrade/gateway/routing/request_attempts.py
+++ b/lapisgrade/gateway/routing/request_attempts.py
@@ -30,6 +30,7 @@
   2013). As long as none fits, it is looked for again whenever an attempt ends.
 
 A request that may run only once is sent again only where no earlier attempt can have run, and never hedged.
+One that bears an operation key goes on without its client while an attempt is in flight, for its repeats.
 """
 
 import math
@@ -130,14 +131,15 @@
                 break
 
             event = yield Sleep(self._next_timer_us(now_us))
-            if event is WakeReason.CLIENT_GONE:
+            if event is WakeReason.CLIENT_GONE and not self._goes_on_without_client():
                 return
             if self._state is State.SELECTING:
                 continue  # still queued: search for a server again
             if isinstance(event, AttemptFinished):
+                self._note_end(event.result)
                 if event.result.is_final:
                     return
-                if not self._on_attempt_failed(event.result):
+                if not self._may_go_on():
                     break
             elif self._is_timed_out():
                 yield Respond(RejectReason.FAILED, 0, HTTPStatus.GATEWAY_TIMEOUT)
@@ -249,12 +251,24 @@
 
     # ---- the end of an attempt
 
-    def _on_attempt_failed(self, result: AttemptResult) -> bool:
-        """Take in the end of an attempt that was not the request's end; whether the request goes on."""
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any attempt may have run, or may still."""
+        return self._may_have_run or bool(self._in_flight())
+
+    def _goes_on_without_client(self) -> bool:
+        """Whether what is in flight is of use to others than the client, which has gone."""
+        return bool(self._request.operation_key and self._in_flight())
+
+    def _note_end(self, result: AttemptResult) -> None:
+        """Take in how an attempt ended."""
         if result.outcome not in (AttemptOutcome.CONNECT_FAILED, AttemptOutcome.NOT_SENT):
             self._reached_servers += 1
         if not result.outcome.never_ran:
             self._may_have_run = True
+
+    def _may_go_on(self) -> bool:
+        """Whether the request goes on after an attempt that was not its end."""
         if self._in_flight():
             return True
         if not self._may_retry():
--- a/lapisgrade/gateway/routing/router.py
+++ b/lapisgrade/gateway/routing/router.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Generator
+from functools import partial
 from http import HTTPStatus
 from random import Random
 from typing import Any
@@ -14,9 +15,12 @@
 from lapisgrade.gateway import registry
 from lapisgrade.gateway.configuration import Tenant
 from lapisgrade.gateway.membership.subsets import Subsets
+from lapisgrade.gateway.operations.attempts import OperationAttempts
+from lapisgrade.gateway.operations.table import RETENTION_MARGIN_US
 from lapisgrade.gateway.quota.client import QuotaClient
 from lapisgrade.gateway.routing.balancer import UpstreamCluster
 from lapisgrade.gateway.routing.idle_connections import IdleConnections
+from lapisgrade.gateway.routing.keyed_request import KeyedRequest
 from lapisgrade.gateway.routing.request import Respond, RoutedRequest
 from lapisgrade.gateway.routing.request_attempts import RequestAttempts
 from lapisgrade.gateway.routing.retry_budget import RetryBudget
@@ -36,7 +40,27 @@
 class Router:
     """One proxy's routing of all its requests."""
 
-    def __init__(self, clock: Clock, seed: int, slo: Slo, zone: str, name: str = "") -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        seed: int,
+        slo: Slo,
+        zone: str,
+        name: str = "",
+        address: str = "",
+        incarnation: str = "",
+    ) -> None:
+        """Begin without servers and routes.
+
+        Args:
+            clock: The host's.
+            seed: Of what is chosen by chance.
+            slo: The service's objectives.
+            zone: Where the proxy stands.
+            name: The proxy's.
+            address: Where the proxy answers other proxies.
+            incarnation: Of the proxy's process.
+        """
         self.clock = clock
         self.random = Random(seed)
         self.slo = slo
@@ -50,6 +74,7 @@
         self.retry_budgets: dict[str, RetryBudget] = {}  # by service
         self.quota_clients: dict[str, QuotaClient] = {}  # by tenant; the one used last is the last
         self.idle_connections = IdleConnections()
+        self.operation_attempts = OperationAttempts(address, incarnation, slo.key_win + RETENTION_MARGIN_US)
         self.split = SplitChooser(self.random)
 
     # ---- what the controllers say
@@ -151,8 +176,23 @@
 
     def serve(self, request: RoutedRequest) -> Generator[Any, Any, None]:
         """The attempts of a request that has been admitted, until its end; a generator for the engine."""
+        if not request.operation_key:
+            return self._attempts(request).run()
+        latency = self.cluster(request.service).latency(request.rule.name, request.rule.target_time)
+        keyed_request = KeyedRequest(
+            request,
+            self.clock,
+            self.random,
+            self.operation_attempts,
+            latency,
+            partial(self._attempts, request),
+        )
+        return keyed_request.run()
+
+    def _attempts(self, request: RoutedRequest) -> RequestAttempts:
+        """The attempts at servers of a request that may be sent now."""
         cluster, retry_budget = self.cluster(request.service), self.retry_budget(request.service)
-        return RequestAttempts(request, self.clock, self.random, cluster, retry_budget).run()
+        return RequestAttempts(request, self.clock, self.random, cluster, retry_budget)
 
     def on_attempt_finished(self, attempt: UpstreamAttempt, result: AttemptResult) -> None:
         """Learn from how an attempt ended; called by the host before its request goes on."""
--- a/lapisgrade/gateway/routing/upstream_protocol.py
+++ b/lapisgrade/gateway/routing/upstream_protocol.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from lapisgrade.gateway.operations.outcomes import Outcome, OutcomeState
 from lapisgrade.net.close_reason import CloseReason
 from lapisgrade.net.events import ClientRequest
 from lapisgrade.net.http import Message
@@ -18,6 +19,7 @@
 TENANT = b"tenant"  # whose request it is, to a server
 WANTED_INSTANCE = b"want-instance"  # the id of the server that is meant; another one answers 421
 AUTHORIZATION = b"authorization"
+OPERATION_KEY = b"op-key"  # on a keyed route: all attempts with one key are one operation
 # Responses.
 SERVER_SEAL = b"server-seal"  # on each success, so that one cut short or made up is known
 NOT_RUN = b"not-run"  # the server promises that it has not run the request
@@ -77,6 +79,16 @@
     )
 
 
+def kept_response(message: Message) -> Outcome:
+    """A server's response as it is kept for the repeats of its operation: without the first request's id."""
+    return Outcome(
+        OutcomeState.ANSWERED,
+        message.head.status_code,
+        forwarded_headers(message, HOP_BY_HOP_HEADERS | {REQUEST_ID}),
+        b"".join(message.body),
+    )
+
+
 def parse_load(message: Message) -> dict[str, float] | None:
     """The load that a server's response reports; None where there is none that can be read."""
     found = _LOAD_PATTERN.fullmatch(message.headers().get(SERVER_LOAD, b"").strip())
--- a/lapisgrade/gateway/settings.py
+++ b/lapisgrade/gateway/settings.py
@@ -81,6 +81,7 @@
         quota_win: The window in which a quota's excess is measured.
         quota_excess: The part by which a quota may be exceeded in the window.
         quota_extra: Requests by which it may be exceeded beside that.
+        key_win: The window in which attempts with one operation key are one operation.
     """
 
     drain: Span = Span(2_500_000)
@@ -92,6 +93,7 @@
     quota_win: Span = Span(5_000_000)
     quota_excess: float = 0.1
     quota_extra: float = 20.0
+    key_win: Span = Span(60_000_000)
 
 
 @define(frozen=True, slots=True)
--- a/lapisgrade/interface.py
+++ b/lapisgrade/interface.py
@@ -10,10 +10,12 @@
 | `Spawn`, `Resume` | the engine | `None`, at once |
 | `Sleep` | the engine's timers | an *event*: a `WakeReason`, or an `AttemptFinished` |
 | `AddToCounter` | the host's counter client | a `CounterReply` |
+| `Call` | the engine's caller, where it has one | the result of the call |
 
-Events reach a generator only while it sleeps; an event that comes while it waits for a `CounterReply` is
-dropped, so whoever resumes reads the operation's state again. A generator that returns has finished its
-operation: a final answer was delivered by the host (`AttemptResult.is_final`) or by `Reject`.
+Events reach a generator only while it sleeps; an event that comes while it waits for a `CounterReply` or the
+result of a `Call` is dropped, so whoever resumes reads the operation's state again. A generator that returns
+has finished its operation: a final answer was delivered by the host (`AttemptResult.is_final`) or by
+`Reject`.
 
 This module holds types only and decides nothing. All times are whole microseconds on the host's one clock;
 `now_us`, `started_us`, `arrived_us`, `deadline_us` and `until_us` are points in time, all other `_us` fields
@@ -261,6 +263,14 @@
     ttl_us: int
 
 
+@dataclass(slots=True)
+class Call:
+    """Call another process; resumed with the result.
+
+    Each kind of call is a class of its own, which says what the result is, also where nobody answers.
+    """
+
+
 @dataclass(slots=True)
 class Sleep:
     """Wait until a time; resumed with a `WakeReason`, or earlier with an `AttemptFinished`."""
@@ -307,7 +317,7 @@
 # ---- what a generator is
 
 Result = TypeVar("Result")
-Command = Send | Cancel | Reject | LogMessage | Spawn | Resume | Sleep | AddToCounter
+Command = Send | Cancel | Reject | LogMessage | Spawn | Resume | Sleep | AddToCounter | Call
 Event = WakeReason | AttemptFinished
 # Yields commands; what each is resumed with is in the table above.
 CommandGenerator = Generator[Command, Any, Result]
--- a/lapisgrade/net/events.py
+++ b/lapisgrade/net/events.py
@@ -60,6 +60,14 @@
     total: float = 0.0
 
 
+@dataclass(slots=True)
+class CallFinished:
+    """A call of another process has ended; `result` is what its kind of call says."""
+
+    task: "Task"
+    result: Any
+
+
 @dataclass(slots=True)
 class ServersUpdated:
     """The endpoint list has changed; a complete list names all servers there are."""
@@ -76,5 +84,11 @@
 
 
 Event = (
-    RequestReceived | ClientDisconnected | AttemptClosed | CounterCallFinished | ServersUpdated | TimerFired
+    RequestReceived
+    | ClientDisconnected
+    | AttemptClosed
+    | CounterCallFinished
+    | CallFinished
+    | ServersUpdated
+    | TimerFired
 )
--- a/lapisgrade/net/host.py
+++ b/lapisgrade/net/host.py
@@ -9,10 +9,11 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple, Protocol
 
-from lapisgrade.engine import Engine, Task
+from lapisgrade.engine import Caller, Engine, Task
 from lapisgrade.interface import (
     AddToCounter,
     AttemptResult,
+    Call,
     Clock,
     CounterReply,
     Operation,
@@ -26,6 +27,7 @@
 from lapisgrade.net.connection_pool import ConnectionPool
 from lapisgrade.net.events import (
     AttemptClosed,
+    CallFinished,
     ClientDisconnected,
     ClientRequest,
     CounterCallFinished,
@@ -64,6 +66,7 @@
     # Set by whoever builds the host, before `run`.
     pool: ConnectionPool
     counter: CounterService
+    caller: Caller  # only where the policy calls other processes
 
     def __init__(
         self,
@@ -79,7 +82,7 @@
         self._queue: asyncio.Queue[Event] = asyncio.Queue()
         self.enqueue = self._queue.put_nowait
         self.clock = Clock(now())
-        self.engine = Engine(self, self.clock)
+        self.engine = Engine(self, self.clock, self)
         self.policy = build_policy(self.clock)
         self.unanswered: dict[ClientRequest, Operation] = {}  # operations without their final response
         self._wake_at_us = 0  # the wake-up requested last
@@ -91,6 +94,7 @@
             ClientDisconnected: self._on_client_disconnected,
             AttemptClosed: self._on_attempt_closed,
             CounterCallFinished: self._on_counter_call_finished,
+            CallFinished: self._on_call_finished,
             ServersUpdated: self._on_servers_updated,
             TimerFired: self._on_timer_fired,
         }
@@ -144,6 +148,9 @@
     def _on_counter_call_finished(self, event: CounterCallFinished) -> None:
         self.engine.counter_replied(event.task, CounterReply(event.reason.counter_outcome, event.total))
 
+    def _on_call_finished(self, event: CallFinished) -> None:
+        self.engine.call_finished(event.task, event.result)
+
     def _on_servers_updated(self, event: ServersUpdated) -> None:
         self.policy.update_servers(event.endpoints, event.is_complete)
 
@@ -188,6 +195,10 @@
         """Add to a count for a task that waits for the total."""
         self.counter.add(task, add)
 
+    def call(self, task: Task, call: Call) -> None:
+        """Call another process for a task that waits for the result."""
+        self.caller.call(task, call)
+
     def log(self, text: str) -> None:
         """Write a line for the people on call."""
         self._log(text)
