--- /dev/null
+++ b/tests/gateway/operations/test_outcomes.py
@@ -0,0 +1,62 @@
+"""What a proxy remembers of its attempts, and what it forgets."""
+
+from unittest import mock
+
+import pytest
+
+from lapisgrade.gateway.operations import outcomes
+from lapisgrade.gateway.operations.outcomes import (
+    NOT_RUN,
+    RUNNING,
+    UNKNOWN,
+    Outcome,
+    OutcomeState,
+    OutcomeStore,
+)
+
+
+def answer(size: int) -> Outcome:
+    return Outcome(OutcomeState.ANSWERED, 200, b"", b"x" * size)
+
+
+@pytest.fixture
+def store() -> OutcomeStore:
+    return OutcomeStore(retention_us=100)
+
+
+def test_the_first_outcome_counts_and_is_told_once(store: OutcomeStore) -> None:
+    ended: list[str] = []
+    store.on_finished = ended.append
+    store.begin(0, "a")
+    assert (store.find("a"), store.running_count) == (RUNNING, 1)
+    store.finish(1, "a", NOT_RUN)
+    store.finish(2, "a", answer(1))
+    store.finish(3, "never begun", answer(1))
+    assert (store.find("a"), store.find("never begun"), store.running_count) == (NOT_RUN, UNKNOWN, 0)
+    assert ended == ["a"]
+
+
+def test_an_outcome_is_forgotten_after_its_retention(store: OutcomeStore) -> None:
+    store.begin(0, "answered")
+    store.finish(1, "answered", answer(1))
+    store.begin(5, "running")
+    store.begin(99, "late")
+    assert store.find("answered") == answer(1)
+    store.begin(105, "another")
+    assert [store.find(name) for name in ("answered", "running", "late")] == [UNKNOWN, UNKNOWN, RUNNING]
+    assert store.running_count == 2
+
+
+def test_memory_is_bounded_by_bytes_and_by_attempts(store: OutcomeStore) -> None:
+    with (
+        mock.patch.object(outcomes, "MAX_STORED_BYTES", 10),
+        mock.patch.object(outcomes, "MAX_RESPONSE_BYTES", 8),
+        mock.patch.object(outcomes, "MAX_ATTEMPTS", 3),
+    ):
+        for name, size in (("a", 6), ("b", 4), ("c", 9)):
+            store.begin(0, name)
+            store.finish(0, name, answer(size))
+        assert [store.find(name).state for name in "abc"] == [3, 3, OutcomeState.UNKNOWN]
+        store.begin(1, "d")  # the oldest goes
+        store.finish(1, "d", answer(7))  # and the oldest answer
+        assert [store.find(name).state for name in "abd"] == [0, 0, OutcomeState.ANSWERED]
