--- /dev/null
+++ b/tests/gateway/proxy/test_keyed_operations.py
@@ -0,0 +1,130 @@
+"""One run for each operation key, on sockets: three machines, and repeats through any of them."""
+
+import asyncio
+import contextlib
+import copy
+from collections.abc import AsyncIterator
+from unittest import mock
+
+import pytest
+from support.local_clusters import serving_cluster
+
+from lapisgrade.gateway.local_cluster import SAMPLE, LocalCluster
+from lapisgrade.gateway.operations.table import MAX_KEY_BYTES
+from lapisgrade.gateway.proxy import process
+from lapisgrade.net.http import Message
+
+KEY = "key-of-sfax"
+KEYED = copy.deepcopy(SAMPLE)
+KEYED["Ports"][0]["Policy"][1]["Mode"] = "keyed"
+
+
+@contextlib.asynccontextmanager
+async def keyed_cluster(work: float = 0.01) -> AsyncIterator[LocalCluster]:
+    """A cluster whose route /claim/ is keyed, and one server that works so many seconds on each request."""
+    async with serving_cluster(KEYED, work=work) as site:
+        yield site
+
+
+async def claim(site: LocalCluster, machine: str, key: str, **more: str) -> Message:
+    """The answer to a request that bears the key, at the proxy of that machine."""
+    return await site.get(machine, "/claim/1", KEY, method="POST", **{"Op-Key": key, **more})
+
+
+def status(message: Message) -> int:
+    return message.head.status_code
+
+
+def runs(site: LocalCluster) -> int:
+    return sum(each.ran.total() for each in site.servers.values())
+
+
+async def test_repeats_through_any_proxy_get_the_first_response_with_their_own_request_id() -> None:
+    async with keyed_cluster() as site:
+        first = await claim(site, "m1", "k1", id="first")
+        for number, machine in enumerate(("m1", "m2", "m3")):
+            repeat = await claim(site, machine, "k1", id=f"repeat-{number}")
+            assert (status(repeat), b"".join(repeat.body)) == (200, b"".join(first.body))
+            assert repeat.headers()[b"server-seal"] == first.headers()[b"server-seal"]
+            assert repeat.headers()[b"try-id"] == f"repeat-{number}".encode()
+        assert runs(site) == 1
+        await claim(site, "m2", "k2")
+        assert runs(site) == 2
+
+
+async def test_repeats_meanwhile_wait_for_the_first_or_are_told_that_it_runs() -> None:
+    async with keyed_cluster(work=0.6) as site:
+        first = asyncio.create_task(claim(site, "m1", "k"))
+        await site.until(lambda: site.servers["i-1"].running)
+        hasty = [claim(site, machine, "k", **{"Deadline-Ms": "300"}) for machine in site.names]
+        patient = [claim(site, machine, "k") for machine in site.names * 2]
+        found = [status(each) for each in await asyncio.gather(*hasty, first, *patient)]
+        assert (found, runs(site)) == ([409] * 3 + [200] * 7, 1)
+
+
+async def test_a_servers_failure_is_the_operations_answer_and_a_lost_connection_is_unknown() -> None:
+    async with keyed_cluster() as site:
+        server = site.servers["i-1"]
+        for manner, expected in (("failing", 500), ("cut", 502)):
+            server.manner = manner
+            assert status(await claim(site, "m1", manner)) == expected
+            server.manner = ""
+            found = [status(await claim(site, machine, manner)) for machine in site.names]
+            assert found == [expected] * 3
+        assert runs(site) == 2
+
+
+async def test_a_run_ends_without_its_client_and_a_shutdown_waits_for_it() -> None:
+    async with keyed_cluster(work=0.8) as site:
+        proxy, server = site.proxies["m1"], site.servers["i-1"]
+        first = asyncio.create_task(claim(site, "m1", "k"))
+        await site.until(lambda: server.running)
+        first.cancel()
+        await asyncio.gather(first, return_exceptions=True)
+        await site.until(lambda: not proxy.host.unanswered)
+        with mock.patch.object(process, "LAST_CONNECTIONS_S", 0.0):
+            proxy.end()
+            repeat = await claim(site, "m2", "k")
+        assert (status(repeat), runs(site), server.dropped) == (200, 1, {})
+
+
+async def test_a_key_whose_proxy_was_restarted_is_not_run_again() -> None:
+    async with keyed_cluster() as site:
+        await claim(site, "m1", "k")
+        await site.kill(site.proxies["m1"])
+        await site.start_proxy("m1")
+        await site.until(lambda: site.proxies["m1"].ready)
+        assert [status(await claim(site, machine, "k")) for machine in site.names] == [502] * 3
+        assert runs(site) == 1
+
+
+async def test_a_claim_is_recorded_by_the_next_leader() -> None:
+    async with keyed_cluster() as site:
+        await claim(site, "m1", "before")
+        await site.kill(next(each for each in site.controllers.values() if each.node.is_leader))
+        during = await claim(site, "m1", "during")
+        assert status(during) == 200
+        assert [status(await claim(site, "m2", key)) for key in ("before", "during")] == [200, 200]
+        assert runs(site) == 2
+
+
+async def test_without_a_leader_nothing_runs() -> None:
+    async with keyed_cluster() as site:
+        for each in list(site.controllers.values())[:2]:
+            await site.kill(each)
+        refused = await claim(site, "m1", "k", tries=1)
+        assert (status(refused), b"retry-after" in refused.headers(), runs(site)) == (503, True, 0)
+
+
+@pytest.mark.parametrize("keys", [[], [""], ["a", "b"], ["x" * (MAX_KEY_BYTES + 1)]])
+async def test_a_keyed_request_without_one_usable_key_is_answered_400(keys: list[str]) -> None:
+    async with keyed_cluster() as site:
+        fields = "".join(f"Op-Key: {key}\r\n" for key in keys)
+        reader, writer = await asyncio.open_connection(*site.http("m1"))
+        writer.write(
+            f"POST /claim/1 HTTP/1.1\r\nHost: a.example\r\nTry-Id: t\r\nAuthorization: Bearer {KEY}\r\n"
+            f"Content-Length: 0\r\n{fields}\r\n".encode()
+        )
+        assert (await reader.readline()).startswith(b"HTTP/1.1 400 ")
+        writer.close()
+        assert runs(site) == 0
