Test of a partly written request: the attempt's own deadline is no part of it

Cause: server and pool share one event loop; the attempt's deadline was 0.5 s and the server died after 0.2 s, so a pause of 0.3 s made both timers due at once. Shown with a pause of 0.6 s put into the server: it fails as seen, and passes with a deadline of 5 s. What is checked is unchanged.

--- a/tests/net/test_connection_pool.py
+++ b/tests/net/test_connection_pool.py
@@ -209,7 +209,7 @@
 
     server = await asyncio.start_server(deaf, "127.0.0.1", 0, limit=1024)
     pool, finished, now = new_pool(server.sockets[0].getsockname()[1])
-    pool.send(FakeAttempt(now, body=bytes(30_000_000)))
+    pool.send(FakeAttempt(now, body=bytes(30_000_000), lasts=5.0))  # the server dies long before its end
     event = await finished.get()
     assert event.reason is CloseReason.INCOMPLETE_WRITE
     assert event.reason.outcome.never_ran
