A version that a proxy can't read keeps neither servers nor members from it

What callers would see: during a release, an operator's first configuration with a new mode freezes the server list and the members at each proxy of before: requests go to servers that have left, then 503. Cause: ControlUpdates.apply took in versions first, and dropped the rest of the leader's reply with them.

Why this works: the rest of the reply is taken in all the same, and the fault raised after it; what says that no version was missed (confirmed_us) still waits for versions that are read.

--- a/lapisgrade/gateway/proxy/control_updates.py
+++ b/lapisgrade/gateway/proxy/control_updates.py
@@ -1,6 +1,9 @@
 """Applies what the leading controller replies to a watch request: versions, servers and live proxies."""
 
+import msgspec
+
 from lapisgrade.gateway import rpc_messages
+from lapisgrade.gateway.errors import InvalidInputError
 from lapisgrade.gateway.membership.partial_view import PartialView
 from lapisgrade.gateway.proxy.context import ProxyContext
 from lapisgrade.gateway.proxy.load_reporter import LoadReporter
@@ -47,13 +50,15 @@
     def apply(self, reply: rpc_messages.WatchReply, sent_us: int) -> None:
         """Apply the leader's reply to a watch request that was sent then.
 
+        Servers and members are taken in even where a version can't be read.
+
         Raises:
             InvalidInputError: A version can't be read.
             msgspec.MsgspecError: A version is no JSON of that form.
         """
         now_us = self._context.now_us
         self._clock.now_us = max(self._clock.now_us, now_us())
-        self.versions.apply(reply)
+        unreadable = self._apply_versions(reply)
         if reply.servers or reply.is_full_update:
             self.servers.apply(reply)
         self.registry_incarnation = reply.registry_incarnation
@@ -62,13 +67,25 @@
         members = self._quota_owner.on_watch_reply(now_us(), reply)
         if members is not None:
             self._apply_live_proxies(members)
-        if self._context.settings.hostname in self._quota_owner.proxies:
+        if unreadable is None and self._context.settings.hostname in self._quota_owner.proxies:
             # The leader does not wait for one that is no member before it orders a version active.
             tables = self._router.tables
             tables.confirmed_us = max(tables.confirmed_us, sent_us)
         if reply.fencing_token == self._quota_owner.fencing_token:
             self.ownership_ends_us = sent_us + OWNERSHIP_LEASE_US
             self._router.set_proxy_count(len(self._quota_owner.proxies))
+        if unreadable is not None:
+            raise unreadable
+
+    def _apply_versions(
+        self, reply: rpc_messages.WatchReply
+    ) -> InvalidInputError | msgspec.MsgspecError | None:
+        """Take in versions of the configuration; returns why one can't be read."""
+        try:
+            self.versions.apply(reply)
+        except (InvalidInputError, msgspec.MsgspecError) as error:
+            return error
+        return None
 
     def _apply_live_proxies(self, members: rpc_messages.ProxiesByName) -> None:
         """Take in a newer membership."""
