--- a/lapisgrade/lab/simulation/cluster.py
+++ b/lapisgrade/lab/simulation/cluster.py
@@ -18,6 +18,7 @@
 
     def __init__(self, loop: VirtualLoop, size: int) -> None:
         self.loop = loop
+        self.started_us = loop.now_us
         self.network = Network(loop, Message)
         self.processes: list[Process] = []
         self.machines: dict[str, Machine] = {}
--- a/lapisgrade/lab/simulation/control_plane.py
+++ b/lapisgrade/lab/simulation/control_plane.py
@@ -89,8 +89,7 @@
         self._repair_all()
         self.loop.run_for(QUIET_PERIOD_S)
         self._expect_service()
-        for operator in self.operators:
-            operator.process.is_alive = False
+        self._stop_changes()
         self.loop.run_for(2.0)
         invariants = self.cluster.invariants
         self.loop.run_until(invariants.is_caught_up, COMMIT_S)
@@ -100,6 +99,11 @@
         check_history(self.history, invariants)
         self.loop.finish(self.cluster.processes)
 
+    def _stop_changes(self) -> None:
+        """End the clients that have entries put into the log."""
+        for operator in self.operators:
+            operator.process.is_alive = False
+
     def _await_lost_machines(self) -> None:
         deadline_us = self.loop.now_us + round(MAX_RECOVERY_S * SECOND)
         while self.faults.lost_machines() and self.loop.now_us < deadline_us:
--- /dev/null
+++ b/lapisgrade/lab/simulation/defects/claims.py
@@ -0,0 +1,57 @@
+"""Defects in how claims of operation keys are recorded, each of which `simulation.claims` must find."""
+
+import asyncio
+
+import msgspec
+
+from lapisgrade.gateway.controller.commands import ClaimOperations, encode_command
+from lapisgrade.gateway.controller.operation_claims import OperationClaims
+from lapisgrade.gateway.controller.state_machine import StateMachine
+from lapisgrade.gateway.operations.claim_batches import LeadershipClock
+from lapisgrade.gateway.operations.table import Claim, ClaimResult, OperationTable
+from lapisgrade.lab.explore.defects import Defect, Defects
+
+_load, _propose, _claim = StateMachine.load, OperationClaims._propose, OperationTable.claim
+
+
+def _load_without_operations(self: StateMachine, data: bytes) -> None:
+    """A snapshot loses who holds which key."""
+    _load(self, data)
+    self.state.operations = OperationTable()
+
+
+async def _propose_answering_at_once(self: OperationClaims, claims: list[Claim]) -> list[ClaimResult] | None:
+    """A claim is answered before a majority has it."""
+    command = ClaimOperations(0, 75_000_000, claims)
+    asyncio.get_running_loop().create_task(self._consensus.propose(encode_command(command)))
+    return [ClaimResult(claim.attempt, claim.owner) for claim in claims]
+
+
+async def _propose_granting_unknown(self: OperationClaims, claims: list[Claim]) -> list[ClaimResult] | None:
+    """A claim whose outcome isn't known is granted."""
+    results = await _propose(self, claims)
+    return results or [ClaimResult(claim.attempt, claim.owner) for claim in claims]
+
+
+def _claim_from_anyone(self: OperationTable, claim: Claim) -> ClaimResult:
+    """A take-over doesn't look at whom it replaces."""
+    record = self.find(claim.tenant, claim.key)
+    if record is not None and claim.replaces:
+        claim = msgspec.structs.replace(claim, replaces=record.attempt)
+    return _claim(self, claim)
+
+
+def _elapsed_since_any_batch(self: LeadershipClock, now_us: int, term: int) -> int:
+    """A leader that leads again counts the time of those between."""
+    elapsed_us = now_us - self._batch_us if self._batch_us else 0
+    self._batch_us = now_us
+    return max(0, elapsed_us)
+
+
+CLAIMS: Defects = {
+    "lost-in-snapshot": Defect(StateMachine, "load", _load_without_operations),
+    "granted-at-once": Defect(OperationClaims, "_propose", _propose_answering_at_once),
+    "granted-while-unknown": Defect(OperationClaims, "_propose", _propose_granting_unknown),
+    "taken-from-anyone": Defect(OperationTable, "claim", _claim_from_anyone),
+    "time-of-other-leaders": Defect(LeadershipClock, "elapsed_us", _elapsed_since_any_batch),
+}
--- a/lapisgrade/lab/simulation/invariants.py
+++ b/lapisgrade/lab/simulation/invariants.py
@@ -234,5 +234,10 @@
                 != leader.controller.state_machine.state.version
             ):
                 self.report_violation(f"{machine.name} has another version than the leader")
+            elif (
+                machine.controller.state_machine.state.operations
+                != leader.controller.state_machine.state.operations
+            ):
+                self.report_violation(f"{machine.name} has other operations than the leader")
         if leader.controller.node.state.now_us < self.cluster.loop.now_us - SECOND:
             self.report_violation("the leader stands still")
