A server's 503 without Not-Run is no promise of ours for what may run once

To the client it is a promise that the request has not run. It is now taken for no answer: 502, without a seal; idempotent requests are as before.

test_refused_a_servers_503_for_what_it_ran_is_no_promise_of_ours failed before (503 with the seal, one run) and passes.

--- a/lapisgrade/gateway/fake_server.py
+++ b/lapisgrade/gateway/fake_server.py
@@ -26,7 +26,8 @@
         state: What its heartbeats say: `up` or `drain`.
         running: How many requests it is executing.
         manner: The fault that it plays: `cut`, `mixed`, `unsealed`, `extra`, `full` (resets what it can't
-            take), `failing`; empty for none.
+            take), `failing`, `unavailable` (503 for what it ran), `silent` (never answers what it can't take,
+            nor what follows on that connection); empty for none.
     """
 
     def __init__(
@@ -98,9 +99,17 @@
             self.seen[message.headers().get(b"try-id", b"").decode()] += 1
             writer.transport.abort()
             return False
+        if self.manner == "silent" and self.running >= self.slots:
+            self.seen[message.headers().get(b"try-id", b"").decode()] += 1
+            await self._wait_for_disconnect(writer)
+            return False
         writer.write(await self._answer(message, writer))
         return self.manner != "cut"
 
+    async def _wait_for_disconnect(self, writer: asyncio.StreamWriter) -> None:
+        while not (writer.transport.is_closing() or self._callers[writer].at_eof()):
+            await asyncio.sleep(POLL_INTERVAL_S)
+
     async def _execute(self, name: str, writer: asyncio.StreamWriter) -> None:
         """The work that a request takes; dropped once its connection closes, as most servers do."""
         loop = asyncio.get_running_loop()
@@ -136,6 +145,8 @@
                 return encode_response(200, b"another's", b"Try-Id: another\r\nServer-Seal: seal\r\n") + whole
             case "failing":
                 return encode_response(500, body, (own + "Server-Seal: seal\r\n").encode())
+            case "unavailable":
+                return encode_response(503, body, (own + "Server-Seal: seal\r\n").encode())
             case "unsealed":
                 return encode_response(200, body, own.encode())
             case "extra":
--- a/lapisgrade/gateway/routing/upstream_protocol.py
+++ b/lapisgrade/gateway/routing/upstream_protocol.py
@@ -51,6 +51,7 @@
 MAX_KEEP_ALIVE_S = 60  # of a server's announced keep-alive time that we follow
 METHODS_WITHOUT_BODY = (b"GET", b"HEAD")
 MISDIRECTED_REQUEST = 421
+PROMISING_STATUSES = (408, 429, 503)  # to a client: the request has not run and never will
 US_PER_S = 1_000_000
 _KEEP_ALIVE_PATTERN = re.compile(rb"timeout=(\d{1,6})")
 _LOAD_PATTERN = re.compile(rb"(\d{1,6}),(\d{1,6}),(\d{1,6})")
@@ -128,9 +129,11 @@
             return CloseReason.ANSWERED if SERVER_SEAL in headers and is_framed else CloseReason.MALFORMED
         if status < 200 or not is_framed:
             return CloseReason.MALFORMED
-        # A server's error is final where the request may run only once; else another may do better.
-        may_retry = status >= 500 and attempt.operation.rule.mode == "idem"
-        return CloseReason.ERROR_RESPONSE if may_retry else CloseReason.CLIENT_ERROR
+        if attempt.operation.rule.mode == "idem":
+            return CloseReason.ERROR_RESPONSE if status >= 500 else CloseReason.CLIENT_ERROR
+        # A server's error is final where the request may run only once. Without `Not-Run` it may have run,
+        # and a client must not be promised that it has not.
+        return CloseReason.MALFORMED if status in PROMISING_STATUSES else CloseReason.CLIENT_ERROR
 
     def keep_alive_us(self, message: Message) -> int:
         """How long a server keeps the connection idle, by its own Keep-Alive header; 0: not announced."""
--- a/tests/gateway/proxy/test_request_rules.py
+++ b/tests/gateway/proxy/test_request_rules.py
@@ -66,6 +66,15 @@
         assert max(runs) <= SAMPLE["Ports"][0]["Policy"][0]["Action"]["Tries"]
 
 
+async def test_refused_a_servers_503_for_what_it_ran_is_no_promise_of_ours() -> None:
+    async with serving_cluster() as site:
+        server = site.servers["i-1"]
+        server.manner = "unavailable"
+        got = await site.get("m1", "/claim/1", KEY, method="POST", id="once", tries=1)
+        assert (status(got), got.headers().get(b"server-seal")) == (502, None)
+        assert server.ran["once"] == 1
+
+
 async def test_drain_a_deregistered_server_gets_no_more_requests() -> None:
     async with serving_cluster() as site:
         await site.start_server("garantie")
