Idle connections to a controller keep no server's call out

A controller kept up to 512 connections of servers and operators, whatever number of descriptors it has, and closed the newest beyond that.

The bound now follows from Caps.Nofile, less 200 for its own calls and files, and the connection that has been idle for longest makes room. The address for readiness checks keeps 32 connections.

--- a/lapisgrade/gateway/controller/server.py
+++ b/lapisgrade/gateway/controller/server.py
@@ -35,7 +35,7 @@
 from lapisgrade.gateway.controller.state_machine import StateMachine
 from lapisgrade.gateway.controller.watch import Watch
 from lapisgrade.gateway.controller.watch_service import WatchService
-from lapisgrade.gateway.http_server import HttpReply, HttpServer
+from lapisgrade.gateway.http_server import MAX_CONNECTIONS, HttpReply, HttpServer
 from lapisgrade.gateway.rpc import RpcEndpoint
 from lapisgrade.gateway.settings import Settings, parse_address
 from lapisgrade.gateway.storage.draft_store import DraftStore
@@ -44,6 +44,9 @@
 
 log = logging.getLogger("controller")
 
+RESERVED_FILES = 200  # descriptors that are kept for files, and for calls between controllers and proxies
+MIN_CONTROL_CONNECTIONS = 16
+MAX_READINESS_CONNECTIONS = 32
 FLUSH_S = 0.15  # for the last messages to be sent at a shutdown
 MAX_READINESS_BODY_BYTES = 4096
 
@@ -79,6 +82,11 @@
     observer: ConsensusObserver
 
 
+def control_connections(descriptors: int) -> int:
+    """Return how many connections of servers and operators a process with so many descriptors keeps."""
+    return min(MAX_CONNECTIONS, max(MIN_CONTROL_CONNECTIONS, descriptors - RESERVED_FILES))
+
+
 def system_environment(settings: Settings) -> ControllerEnvironment:
     """Return the environment of a real process."""
     storage = None
@@ -129,8 +137,12 @@
         self.draft_delivery = self._make_draft_delivery()
         self.drafts = self._make_draft_service()
         self.control_api = ControlApi(self.forwarder, self.drafts, self.metrics)
-        self.control_server = HttpServer(self.control_api.handle_call, configuration.MAX_BYTES)
-        self.readiness_server = HttpServer(self._handle_readiness, MAX_READINESS_BODY_BYTES)
+        self.control_server = HttpServer(
+            self.control_api.handle_call, configuration.MAX_BYTES, control_connections(settings.caps.nofile)
+        )
+        self.readiness_server = HttpServer(
+            self._handle_readiness, MAX_READINESS_BODY_BYTES, MAX_READINESS_CONNECTIONS
+        )
 
     def _make_draft_delivery(self) -> DraftDelivery:
         return DraftDelivery(
--- a/lapisgrade/gateway/http_server.py
+++ b/lapisgrade/gateway/http_server.py
@@ -16,7 +16,7 @@
 from lapisgrade.net.http import MalformedMessageError, Message, MessageParser
 
 IDLE_TIMEOUT_S = 30.0  # that a connection may stay without a request
-MAX_CONNECTIONS = 512  # more are closed as they come (guards descriptors)
+MAX_CONNECTIONS = 512  # beyond it the one that has been idle for longest is closed (guards descriptors)
 LISTEN_BACKLOG = 64
 CLOSE_FIELD = b"Connection: close\r\n"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -46,12 +46,14 @@
         closing: Set where connections are to be closed after the request that is being answered.
     """
 
-    def __init__(self, handler: Handler, max_body_bytes: int) -> None:
-        """Refuse requests whose body is longer than that."""
+    def __init__(self, handler: Handler, max_body_bytes: int, max_connections: int = MAX_CONNECTIONS) -> None:
+        """Refuse requests whose body is longer than that, and keep no more connections than that."""
         self._handler = handler
+        self._max_connections = max_connections
         self._max_body_bytes = max_body_bytes
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.StreamWriter] = set()
+        self._idle: dict[asyncio.StreamWriter, None] = {}  # without a request; the longest so is first
         self.closing = False
 
     async def listen(self, address: tuple[str, int]) -> None:
@@ -71,10 +73,9 @@
             writer.transport.abort()
 
     async def _on_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if len(self._connections) >= MAX_CONNECTIONS:
-            writer.transport.abort()
-            return
         self._connections.add(writer)
+        if len(self._connections) > self._max_connections:
+            self._free_capacity(writer)
         limit_read_size(writer)
         detect_dead_peer(writer.transport)
         try:
@@ -83,13 +84,23 @@
             pass
         finally:
             self._connections.discard(writer)
+            self._idle.pop(writer, None)
             writer.close()
 
+    def _free_capacity(self, newest: asyncio.StreamWriter) -> None:
+        """Close the connection that has been idle for longest, else the newest."""
+        closed = next(iter(self._idle), newest)
+        self._idle.pop(closed, None)
+        self._connections.discard(closed)
+        closed.transport.abort()
+
     async def _answer_requests(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         rest = b""  # what came after the request before
         while True:
             try:
+                self._idle[writer] = None
                 message = await self._read_request(reader, writer, rest)
+                self._idle.pop(writer, None)
             except MalformedMessageError as error:
                 writer.write(encode_response(error.status, b'{"Err":"not a request"}', CLOSE_FIELD))
                 return
--- a/lapisgrade/gateway/proxy/process.py
+++ b/lapisgrade/gateway/proxy/process.py
@@ -40,6 +40,7 @@
 RESERVED_FILES = 200  # descriptors that are kept for files, and for calls to controllers and proxies
 MIN_SOCKETS = 64
 MAX_READINESS_BODY_BYTES = 4096
+MAX_READINESS_CONNECTIONS = 32
 LAST_CONNECTIONS_S = 2.6  # after SIGTERM until idle connections are closed; new ones may still come till then
 EXIT_RESERVE_S = 0.4  # of the grace time that is left for the process to exit
 SHUTDOWN_POLL_S = 0.05  # between checks whether all requests have been answered
@@ -74,7 +75,9 @@
         sockets = max(MIN_SOCKETS, settings.caps.nofile - RESERVED_FILES)
         self.client_front = ClientFront(context, self.host, self.router, sockets // 2)
         self.host.pool = self.pool = self.make_pool(sockets // 4)
-        self.readiness = HttpServer(self._answer_readiness, MAX_READINESS_BODY_BYTES)
+        self.readiness = HttpServer(
+            self._answer_readiness, MAX_READINESS_BODY_BYTES, MAX_READINESS_CONNECTIONS
+        )
 
     def _build_control(self, settings: Settings) -> None:
         """To the controllers and the other proxies."""
--- /dev/null
+++ b/tests/gateway/test_http_server.py
@@ -0,0 +1,42 @@
+"""The small HTTP server of controllers, and what it holds for callers that say nothing."""
+
+import asyncio
+
+from support.loopback_network import LoopbackNetwork
+
+from lapisgrade.gateway.controller.server import RESERVED_FILES, control_connections
+from lapisgrade.gateway.http_client import send_request
+from lapisgrade.gateway.http_server import HttpReply, HttpServer
+from lapisgrade.net.http import Message
+
+PORT = 8407
+MAX_CONNECTIONS = 4
+
+
+async def answer(message: Message) -> HttpReply:
+    return HttpReply(200)
+
+
+async def test_idle_connections_beyond_the_bound_keep_no_caller_out(
+    loopback_network: LoopbackNetwork,
+) -> None:
+    address = (loopback_network.host(1), PORT)
+    server = HttpServer(answer, 1024, MAX_CONNECTIONS)
+    await server.listen(address)
+    idle = [await asyncio.open_connection(*address) for _ in range(3 * MAX_CONNECTIONS)]
+    try:
+        got = await send_request(address, "GET", "/")
+        assert got.head.status_code == 200
+        assert len(server._connections) <= MAX_CONNECTIONS
+        async with asyncio.timeout(5.0):
+            assert await idle[0][0].read() == b"", "the one that was idle for longest is closed"
+    finally:
+        server.close()
+        for _, writer in idle:
+            writer.close()
+
+
+def test_a_controller_keeps_descriptors_for_its_own_calls_and_files() -> None:
+    for descriptors in (300, 475, 750, 1024):
+        assert control_connections(descriptors) <= descriptors - RESERVED_FILES
+    assert control_connections(100) > 0
