Soak: signals, restarts and changes that overlap under operations, with real processes

lapisgrade lab partitions operations: clients keep their connections until the process is gone and repeat their keys at other proxies, after failures and after successes; proxies and controllers are signalled (SIGTERM, SIGHUP, SIGKILL, also over one another), restarted, and the configuration changes meanwhile. A pure checker judges runs by tenant and key, answers of repeats, promises, how each attempt ended, processes that end by themselves, and what memory and descriptors they take. MODE is mutate until keyed is accepted: then an attempt is an operation.

--- a/lapisgrade/cli/lab_faults.py
+++ b/lapisgrade/cli/lab_faults.py
@@ -38,18 +38,20 @@
 
 @click.command(
     help="Play WHAT with the system's processes on loopback, whose links are cut and which are frozen and "
-    "killed: a leader cut off or struck (control), a route edited on both sides of a break (rejoin), or a "
-    "tenant beyond its limit (quota). A Markdown table, exit 1 where something was seen that must not be."
+    "killed: a leader cut off or struck (control), a route edited on both sides of a break (rejoin), a "
+    "tenant beyond its limit (quota), or signals and restarts that overlap under requests that may run once "
+    "(operations). A Markdown table, exit 1 where something was seen that must not be."
 )
-@click.argument("what", type=click.Choice(["control", "rejoin", "quota"]))
+@click.argument("what", type=click.Choice(["control", "rejoin", "quota", "operations"]))
 @click.option("--plays", type=click.IntRange(1, 1000), default=3, show_default=True, help="of each case")
 @click.option("--cases", default="", help="names with commas between them; default: all")
 @click.option("--first", type=click.IntRange(0), default=0, show_default=True, help="the first seed")
 def partitions(what: str, plays: int, cases: str, first: int) -> None:
     """Run the cases of a fault scenario with real processes, and print a table."""
-    from lapisgrade.lab.partitions import control, quota, rejoin
+    from lapisgrade.lab.partitions import control, operations, quota, rejoin
 
-    module = {"control": control, "rejoin": rejoin, "quota": quota}[what]
+    modules = {"control": control, "rejoin": rejoin, "quota": quota, "operations": operations}
+    module = modules[what]
     names = parse_names(cases, module.CASES, "case")
     all_held = asyncio.run(module.table(names, range(first, first + plays), click.echo))
     sys.exit(0 if all_held else 1)
--- a/lapisgrade/lab/partitions/fleet.py
+++ b/lapisgrade/lab/partitions/fleet.py
@@ -45,9 +45,10 @@
         machines: int = 3,
         controllers: int = 0,
         tenants: list[dict] | None = None,
+        grace: str = "3s",
     ) -> None:
         """Controllers on the first so many machines, 0 for all of them."""
-        self.folder, self.first = folder, True
+        self.folder, self.first, self.grace = folder, True, grace
         self.sample = SAMPLE if tenants is None else {**SAMPLE, "Tenants": tenants}
         self.ip = {f"m{number}": f"127.{net}.0.{number}" for number in range(1, machines + 1)}
         self.controllers = list(self.ip)[: controllers or machines]
@@ -59,16 +60,23 @@
         self.tasks: list[asyncio.Task] = []
         self.number = 0
 
-    async def start(self, role: str, name: str) -> None:
+    def write_settings(self, role: str, name: str, peers: list[str] | None = None) -> str:
+        """Write a process's settings file, by default with the first three machines as peers; its path."""
         ip, path = self.ip[name], os.path.join(self.folder, f"{name}-{role}.json")
         bind = {"Http": f"{ip}:{HTTP}", "Readyz": f"{ip}:{READY}", "Ctl": f"{ip}:{CTL}"}
+        hosts = [self.ip[each] for each in peers or list(self.ip)[:3]]
         settings = {
             "Hostname": name, "Ip": ip, "Az": "z", "Bind": bind, "Portrange": [INNER, INNER + 15],
-            "Peers": [f"{each}:{CTL}" for each in list(self.ip.values())[:3]], "Bootstrap": self.first,
-            "Datadir": os.path.join(self.folder, name), "Heartbeat": "300ms", "Slo": {"Grace": "3s"},
+            "Peers": [f"{each}:{CTL}" for each in hosts], "Bootstrap": self.first,
+            "Datadir": os.path.join(self.folder, name), "Heartbeat": "300ms", "Slo": {"Grace": self.grace},
         }  # fmt: skip
-        with open(path, "w") as file:
+        with open(f"{path}.new", "w") as file:
             json.dump(settings, file)
+        os.replace(f"{path}.new", path)
+        return path
+
+    async def start(self, role: str, name: str) -> None:
+        path = self.write_settings(role, name)
         with open(os.path.join(self.folder, f"{name}-{role}.log"), "ab") as log:
             self.running[role, name] = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "lapisgrade.lab.partitions.cuts", self.cuts, role, f"--settings={path}",
--- /dev/null
+++ b/lapisgrade/lab/partitions/operation_clients.py
@@ -0,0 +1,185 @@
+"""Clients of a play of keyed operations: they keep their connections, and repeat their keys elsewhere."""
+
+import asyncio
+import time
+from random import Random
+
+import h11
+
+from lapisgrade.gateway.local_cluster import HTTP
+from lapisgrade.lab.partitions.fleet import Fleet
+from lapisgrade.lab.partitions.operation_history import (
+    DEADLINE_S,
+    LEEWAY_S,
+    Attempt,
+    AttemptEnd,
+    History,
+)
+from lapisgrade.net.http import MalformedMessageError, Message, MessageParser
+
+READ_BYTES = 65_536
+MAX_BODY_BYTES = 1 << 20
+CONNECT_TIMEOUT_S = 1.0
+MAX_PAUSE_S = 0.04  # between two requests of one client
+MAX_BACKOFF_S = 0.3  # before a repeat after a failure
+MAX_REPEAT_DELAY_S = 1.0  # before a repeat after a success
+MAX_ATTEMPTS = 4  # of one operation until it is answered with success
+REPEAT_AFTER_SUCCESS_SHARE = 0.3
+CONCURRENT_REPEAT_SHARE = 0.1  # of operations whose first two attempts are sent at once
+SHARED_KEY_SHARE = 0.1  # of operations that bear a key that the other tenant has used too
+PATHS = {True: "/claim/1", False: "/stock/1"}  # by whether the request bears a key
+
+
+class KeptConnection:
+    """A client's connection to one proxy, which serves one request after another until it ends."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, process_id: int) -> None:
+        self._reader = reader
+        self._writer = writer
+        self.process_id = process_id
+
+    @classmethod
+    async def open(cls, address: tuple[str, int], process_id: int) -> "KeptConnection":
+        """Connect.
+
+        Raises:
+            OSError: Nobody listens there; TimeoutError is one.
+        """
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(*address)
+        return cls(reader, writer, process_id)
+
+    def is_open(self) -> bool:
+        """Whether nothing is known of its end."""
+        return not (self._writer.is_closing() or self._reader.at_eof())
+
+    def close(self) -> None:
+        """Give it up."""
+        self._writer.transport.abort()
+
+    async def exchange(self, request: bytes) -> Message:
+        """Send a request and return its whole answer.
+
+        Raises:
+            OSError: The connection ended before the answer did.
+            MalformedMessageError: As OSError, or what came is not HTTP.
+        """
+        self._writer.write(request)
+        parser, message = MessageParser(h11.CLIENT, MAX_BODY_BYTES), None
+        while message is None:
+            chunk = await self._reader.read(READ_BYTES)
+            if not chunk:
+                raise ConnectionResetError("closed before a whole answer")
+            message = parser.feed(chunk)
+        if message.last:
+            self.close()
+        return message
+
+
+class Client:
+    """One client: its connections, one for each proxy, and its attempts."""
+
+    def __init__(self, fleet: Fleet, history: History, random: Random, tenants: dict[str, str]) -> None:
+        """`tenants`: API keys by tenant."""
+        self._fleet = fleet
+        self._history = history
+        self._random = random
+        self._tenants = tenants
+        self._connections: dict[str, KeptConnection] = {}
+
+    async def run_operations(self) -> None:
+        """Run one keyed operation after another."""
+        while True:
+            tenant = self._random.choice(list(self._tenants))
+            await self._run_operation(tenant, f"k-{self._random.getrandbits(48):012x}")
+            await asyncio.sleep(self._random.uniform(0, MAX_PAUSE_S))
+
+    async def run_lookups(self) -> None:
+        """Send one request that may run any number of times after another."""
+        while True:
+            tenant = self._random.choice(list(self._tenants))
+            await self._attempt(tenant, "", self._proxy())
+            await asyncio.sleep(self._random.uniform(0, MAX_PAUSE_S))
+
+    async def _run_operation(self, tenant: str, key: str) -> None:
+        """Try an operation until it is answered with success, then repeat some."""
+        tenants = [tenant]
+        if self._random.random() < SHARED_KEY_SHARE:
+            tenants = list(self._tenants)
+        if self._random.random() < CONCURRENT_REPEAT_SHARE:
+            tenants = tenants * 2
+        proxies = [self._proxy() for _ in tenants]
+        if 1 < len(proxies) == len(set(proxies)):  # a connection carries one request at a time
+            tries = (self._attempt(each, key, at) for each, at in zip(tenants, proxies, strict=True))
+            await asyncio.gather(*tries)
+        if await self._try_until_served(tenant, key):
+            await self._repeat_after_success(tenant, key)
+
+    async def _try_until_served(self, tenant: str, key: str) -> bool:
+        for _ in range(MAX_ATTEMPTS):
+            attempt = await self._attempt(tenant, key, self._proxy())
+            if attempt.is_success:
+                return True
+            await asyncio.sleep(self._random.uniform(0, MAX_BACKOFF_S))
+        return False
+
+    async def _repeat_after_success(self, tenant: str, key: str) -> None:
+        while self._random.random() < REPEAT_AFTER_SUCCESS_SHARE:
+            await asyncio.sleep(self._random.choice((0.0, self._random.uniform(0, MAX_REPEAT_DELAY_S))))
+            await self._attempt(tenant, key, self._proxy())
+
+    def _proxy(self) -> str:
+        return self._random.choice(list(self._fleet.ip))
+
+    async def _attempt(self, tenant: str, key: str, proxy: str) -> Attempt:
+        """Send one attempt, on the connection that is kept to that proxy."""
+        attempt = Attempt(f"{self._random.getrandbits(64):016x}", tenant, key, proxy)
+        self._history.attempts[attempt.try_id] = attempt
+        attempt.sent_s = time.monotonic()
+        try:
+            connection = await self._connection(proxy)
+        except OSError:
+            attempt.end, attempt.ended_s = AttemptEnd.NOT_CONNECTED, time.monotonic()
+            return attempt
+        attempt.sent_s = time.monotonic()
+        attempt.process_id = connection.process_id
+        try:
+            async with asyncio.timeout(DEADLINE_S + LEEWAY_S):
+                message = await connection.exchange(self._request(attempt))
+            _note_answer(attempt, message)
+        except TimeoutError:
+            attempt.end = AttemptEnd.SILENT
+        except OSError:
+            attempt.end = AttemptEnd.CLOSED
+        except MalformedMessageError:
+            attempt.end = AttemptEnd.MALFORMED
+        if attempt.end is not AttemptEnd.ANSWERED:
+            connection.close()
+        attempt.ended_s = time.monotonic()
+        return attempt
+
+    async def _connection(self, proxy: str) -> KeptConnection:
+        connection = self._connections.get(proxy)
+        if connection is None or not connection.is_open():
+            process_id = self._fleet.running["proxy", proxy].pid
+            connection = await KeptConnection.open((self._fleet.ip[proxy], HTTP), process_id)
+            self._connections[proxy] = connection
+        return connection
+
+    def _request(self, attempt: Attempt) -> bytes:
+        operation_key = f"Op-Key: {attempt.key}\r\n" if attempt.key else ""
+        body = b"order" if attempt.key else b""
+        return (
+            f"{'POST' if attempt.key else 'GET'} {PATHS[bool(attempt.key)]} HTTP/1.1\r\nHost: a.example\r\n"
+            f"Try-Id: {attempt.try_id}\r\nDeadline-Ms: {int(DEADLINE_S * 1000)}\r\n{operation_key}"
+            f"Authorization: Bearer {self._tenants[attempt.tenant]}\r\nContent-Length: {len(body)}\r\n\r\n"
+        ).encode() + body
+
+
+def _note_answer(attempt: Attempt, message: Message) -> None:
+    headers = message.headers()
+    attempt.end = AttemptEnd.ANSWERED
+    attempt.status = message.head.status_code
+    attempt.seal = headers.get(b"server-seal", b"").decode()
+    attempt.answered_id = headers.get(b"try-id", b"").decode()
+    attempt.body = b"".join(message.body)
--- /dev/null
+++ b/lapisgrade/lab/partitions/operations.py
@@ -0,0 +1,191 @@
+"""Plays of keyed operations with real processes, whose signals, restarts and configuration changes overlap.
+
+    found = await play("signals", net=101, folder=folder, random=Random(1))
+
+Clients keep their connections until the process is gone, and repeat their keys at other proxies after
+failures and after successes. `operation_history.violations` judges what they and the servers have seen.
+"""
+
+import asyncio
+import tempfile
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from lapisgrade.gateway.local_cluster import SAMPLE
+from lapisgrade.lab.partitions.fleet import Fleet
+from lapisgrade.lab.partitions.operation_clients import Client
+from lapisgrade.lab.partitions.operation_faults import (
+    CHANGES,
+    CONTROLLER_FAULTS,
+    GRACE_S,
+    PROXY_FAULTS,
+    ProcessFaults,
+    Usage,
+)
+from lapisgrade.lab.partitions.operation_history import Attempt, AttemptEnd, History, violations
+from lapisgrade.lab.partitions.operation_server import OperationServer
+
+MODE = "mutate"  # of the operations' route
+MACHINES, CONTROLLERS, SERVERS = 5, 3, 4
+OPERATION_CLIENTS, LOOKUP_CLIENTS = 8, 4
+FAULTS_S = 8.0  # that faults are begun for
+CALM_S = 2.0  # of requests after the last fault has ended
+SLOTS = 16
+MAX_SHOWN = 10  # violations of one play
+NET, NETS = 120, 100  # 127.120 to 127.219 are the plays' machines
+TENANTS = {"sfax": "key-of-sfax", "gabes": "key-of-gabes"}
+
+
+@dataclass(slots=True, frozen=True)
+class Case:
+    """One kind of play.
+
+    Attributes:
+        faults: How often each fault is drawn.
+        is_unruly: Whether servers go wrong.
+        slots: Requests that a server takes at once.
+        manner: As `FakeServer.manner`.
+    """
+
+    faults: dict[str, int] = field(default_factory=dict)
+    is_unruly: bool = True
+    slots: int = SLOTS
+    manner: str = ""
+
+
+CASES = {
+    "calm": Case(is_unruly=False),
+    "unruly": Case(),
+    "full": Case(is_unruly=False, slots=1, manner="silent"),
+    "signals": Case(PROXY_FAULTS | CHANGES),
+    "controllers": Case(PROXY_FAULTS | CONTROLLER_FAULTS | CHANGES),
+    "herd": Case(PROXY_FAULTS | CHANGES | {"kill all proxies": 2}),
+}
+
+
+@dataclass(slots=True)
+class Found:
+    """What a play showed."""
+
+    case: str
+    operations: list[Attempt] = field(default_factory=list)
+    lookups: list[Attempt] = field(default_factory=list)
+    runs: int = 0
+    done: Counter[str] = field(default_factory=Counter)
+    usage: Usage = field(default_factory=Usage)
+    wrong: list[str] = field(default_factory=list)
+
+
+def share_served(attempts: list[Attempt]) -> float:
+    """The share of operations, or of requests without a key, that were answered with success."""
+    outcomes: dict[tuple[str, str], bool] = {}
+    for each in attempts:
+        name = (each.tenant, each.key or each.try_id)
+        outcomes[name] = outcomes.get(name, False) or each.is_success
+    return sum(outcomes.values()) / len(outcomes) if outcomes else 0.0
+
+
+def _sample() -> dict:
+    """The sample configuration with our tenants, without quotas, and the operations' mode."""
+    tenants = [
+        {"Name": name, "Apikeys": [key], "Prio": 1, "RateS": 0, "Burst": 0} for name, key in TENANTS.items()
+    ]
+    port = SAMPLE["Ports"][0]
+    rules = [{**each, "Mode": MODE} if each["Name"] == "r-claim" else each for each in port["Policy"]]
+    return {**SAMPLE, "Tenants": tenants, "Ports": [{**port, "Policy": rules}]}
+
+
+async def play(case_name: str, net: int, folder: str, random: Random, seconds: float = FAULTS_S) -> Found:
+    """Play one case on machines of 127.`net`; TimeoutError where the system never came up."""
+    case, history, found = CASES[case_name], History(), Found(case_name)
+    fleet = Fleet(net, folder, MACHINES, CONTROLLERS, grace=f"{GRACE_S:g}s")
+    fleet.sample = _sample()
+    async with fleet:
+        servers = await _start_servers(fleet, case, history, random)
+        faults = ProcessFaults(fleet, history, random)
+        watching = asyncio.create_task(faults.watch())
+        clients = [Client(fleet, history, random, TENANTS) for _ in range(OPERATION_CLIENTS + LOOKUP_CLIENTS)]
+        loads = [asyncio.create_task(each.run_operations()) for each in clients[:OPERATION_CLIENTS]]
+        loads += [asyncio.create_task(each.run_lookups()) for each in clients[OPERATION_CLIENTS:]]
+        try:
+            await faults.run(case.faults, seconds)
+            await asyncio.sleep(CALM_S)
+        finally:
+            ended = await _cancel([*loads, watching])
+            for server in servers:
+                server.close()
+    found.wrong = violations(history, MODE == "keyed") + [f"a client failed: {each!r}" for each in ended]
+    attempts = [each for each in history.attempts.values() if each.end is not AttemptEnd.CANCELLED]
+    found.operations = [each for each in attempts if each.key]
+    found.lookups = [each for each in attempts if not each.key]
+    found.runs, found.done, found.usage = len(history.runs), faults.done, faults.usage
+    return found
+
+
+async def _start_servers(fleet: Fleet, case: Case, history: History, random: Random) -> list[OperationServer]:
+    """Start the play's servers, and have the fleet's own leave once all proxies know them."""
+    servers = []
+    for number in range(2, SERVERS + 2):
+        address = (f"{fleet.server.address[0].rsplit('.', 1)[0]}.{number}", fleet.server.address[1])
+        server = OperationServer(f"i-{number}", address, history, random, case.slots, case.is_unruly)
+        server.manner = case.manner
+        await server.start()
+        fleet.tasks.append(asyncio.create_task(fleet.beats(server)))
+        servers.append(server)
+    fleet.server.state = "drain"
+
+    async def all_serve() -> bool:
+        before = len(history.runs)
+        for name in fleet.ip:
+            await fleet.call(name, "a.example", "/stock/1", TENANTS["sfax"])
+        return len(history.runs) - before == len(fleet.ip)
+
+    await fleet.until(all_serve)
+    history.runs.clear()
+    return servers
+
+
+async def _cancel(tasks: list[asyncio.Task[None]]) -> list[BaseException]:
+    """End tasks; the errors of those that had failed."""
+    for each in tasks:
+        each.cancel()
+    ended = await asyncio.gather(*tasks, return_exceptions=True)
+    return [
+        each
+        for each in ended
+        if isinstance(each, BaseException) and not isinstance(each, asyncio.CancelledError)
+    ]
+
+
+async def table(cases: list[str], seeds: range, say: Callable[[str], None]) -> bool:
+    """Print a Markdown table, a row for each play; whether nothing was seen that must not be."""
+    say(f"Mode {MODE}.")
+    say("| case | seed | faults | operations: attempts, served | look-ups, served | runs "
+        "| statuses | most memory, descriptors | wrong |")  # fmt: skip
+    say("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+    wrong: list[str] = []
+    for case in cases:
+        for seed in seeds:
+            with tempfile.TemporaryDirectory() as folder:
+                try:
+                    found = await play(case, NET + seed % NETS, folder, Random(seed))
+                except TimeoutError:
+                    found = Found(case, wrong=["something never came to be in time"])
+            say(_row(found, seed))
+            wrong += [f"{case}, seed {seed}: {each}" for each in found.wrong[:MAX_SHOWN]]
+    for line in wrong:
+        say(line)
+    return not wrong
+
+
+def _row(found: Found, seed: int) -> str:
+    statuses = Counter(each.status or each.end.name for each in found.operations)
+    shown = ", ".join(f"{name} {count}" for name, count in statuses.most_common())
+    return (
+        f"| {found.case} | {seed} | {found.done.total()} | {len(found.operations)}, "
+        f"{share_served(found.operations):.3f} | {len(found.lookups)}, {share_served(found.lookups):.3f} "
+        f"| {found.runs} | {shown} | {found.usage.resident_mb:.0f} MB, {found.usage.descriptors} "
+        f"| {len(found.wrong)} |"
+    )
