--- a/lapisgrade/gateway/configuration.py
+++ b/lapisgrade/gateway/configuration.py
@@ -7,6 +7,7 @@
 
 import functools
 from collections.abc import Callable
+from enum import StrEnum
 from typing import Any
 
 import cattrs
@@ -27,6 +28,12 @@
 DEFAULT_BODY_BYTES = 64 * 1024 * 1024
 
 
+class ApiKey(str):
+    """A tenant's API key: a secret, which no message shows, not even where it can't be read."""
+
+    __slots__ = ()
+
+
 def wire_field(name: str, **options: Any) -> Any:
     """Return an attrs field that the configuration has under another key than `wire_name` would make."""
     return field(metadata={"wire": name}, **options)
@@ -56,10 +63,29 @@
         raise ValueError(f"{wire_name(attribute.name)} must have 1 to {MAX_NAME_LENGTH} characters")
 
 
-def check_mode(_: Any, attribute: Any, value: str) -> None:
-    """Validate whether a route's requests may run more than once."""
-    if value not in ("idem", "mutate", "keyed"):
+class Mode(StrEnum):
+    """How often a route's requests may run; the values are the configuration's own words.
+
+    Attributes:
+        IDEM: Idempotent: as often as is of use.
+        MUTATE: At most once for each attempt of a client.
+        KEYED: At most once for all attempts of a tenant with one `Op-Key`.
+    """
+
+    IDEM = "idem"
+    MUTATE = "mutate"
+    KEYED = "keyed"
+
+
+def to_mode(value: str) -> Mode:
+    """Return the mode of that name.
+
+    Raises:
+        ValueError: There is none.
+    """
+    if value not in tuple(Mode):
         raise ValueError(f"{value!r} is no mode, as idem, mutate and keyed are")
+    return Mode(value)
 
 
 @define(frozen=True, slots=True)
@@ -118,7 +144,7 @@
         name: Unique in the configuration.
         match: Which requests it takes.
         action: Where they go.
-        mode: `idem` for idempotent requests, `mutate` for those that may run only once.
+        mode: How often its requests may run.
         target_time: The latency target, in us.
         prio: The priority; where there is too much load, the lowest is shed first.
         public: Whether requests without an API key are taken.
@@ -127,7 +153,7 @@
     name: str = field(validator=check_name)
     match: Match
     action: Action
-    mode: str = field(default="mutate", validator=check_mode)
+    mode: Mode = field(default=Mode.MUTATE, converter=to_mode)
     target_time: Span = wire_field("Target_time", default=Span(SECOND))
     prio: int = 1
     public: bool = False
@@ -149,11 +175,13 @@
         name: Unique in the configuration.
         hcheck: The path of its health check.
         maxconn: How many connections one of its servers takes.
+        dedup: Whether its servers keep a record of operation keys of their own.
     """
 
     name: str = field(validator=check_name)
     hcheck: str = "/healthz"
     maxconn: int = field(default=100, validator=check_positive)
+    dedup: bool = False
 
 
 @define(frozen=True, slots=True)
@@ -169,7 +197,7 @@
     """
 
     name: str = field(validator=check_name)
-    apikeys: tuple[str, ...] = ()
+    apikeys: tuple[ApiKey, ...] = ()
     prio: int | None = None
     rate_s: float = field(default=0.0, validator=check_not_negative, metadata={"wire": "RateS"})
     burst: float = field(default=0.0, validator=check_not_negative)
@@ -215,11 +243,18 @@
 def converter() -> cattrs.Converter:
     """Return the converter of configurations; versions share most of their items, so items are cached."""
     caching, plain = strict_converter(), strict_converter()
+    plain.register_structure_hook(ApiKey, _read_api_key)
     for kind in (Rule, Tenant, Pool):
         caching.register_structure_hook(kind, _cached_hook(plain, kind))
     return caching
 
 
+def _read_api_key(value: Any, _: type) -> str:
+    if type(value) is not str:
+        raise ValueError("an API key is not text")
+    return value
+
+
 def _cached_hook(plain: cattrs.Converter, kind: type) -> Callable[[Any, type], Any]:
     """Return a hook that reads each text of a record of that kind once."""
 
--- a/lapisgrade/gateway/proxy/client_front.py
+++ b/lapisgrade/gateway/proxy/client_front.py
@@ -3,7 +3,7 @@
 from http import HTTPStatus
 
 from lapisgrade.gateway import SECOND
-from lapisgrade.gateway.configuration import Caps, Rule, Tenant
+from lapisgrade.gateway.configuration import Caps, Mode, Rule, Tenant
 from lapisgrade.gateway.operations.table import MAX_KEY_BYTES
 from lapisgrade.gateway.proxy.context import ProxyContext
 from lapisgrade.gateway.proxy.host import ProxyHost
@@ -72,7 +72,7 @@
             client.respond_at_once(HTTPStatus.CONFLICT, close=message.last)
             return None
         rule, tenant = found
-        key = operation_key(message) if rule.mode == "keyed" else ""
+        key = operation_key(message) if rule.mode is Mode.KEYED else ""
         return RoutedRequest(
             customer=tenant.name if tenant else "",
             arrived_us=now_us,
