--- a/lapisgrade/gateway/controller/server.py
+++ b/lapisgrade/gateway/controller/server.py
@@ -5,6 +5,7 @@
                             DraftService -> DraftDelivery            ConsensusDriver -> LogWriter -> disk
                                  ^                                    ^     |
 RPC (controllers, proxies) ------+----------> WatchService -----------+     +-> StateMachine
+                                 +----------> OperationClaims --------+
 """
 
 import asyncio
@@ -32,6 +33,8 @@
 from lapisgrade.gateway.controller.leader_discovery import ClusterMembership, LeaderDiscovery
 from lapisgrade.gateway.controller.log_writer import LogWriter
 from lapisgrade.gateway.controller.metrics import ControllerMetrics
+from lapisgrade.gateway.controller.operation_claims import OperationClaims
+from lapisgrade.gateway.controller.refused_changes import RefusedChanges
 from lapisgrade.gateway.controller.state_machine import StateMachine
 from lapisgrade.gateway.controller.watch import Watch
 from lapisgrade.gateway.controller.watch_service import WatchService
@@ -41,6 +44,7 @@
 from lapisgrade.gateway.storage.draft_store import DraftStore
 from lapisgrade.gateway.storage.log_store import LogStore
 from lapisgrade.net.http import Message as HttpMessage
+from lapisgrade.net.rate_limited_log import RateLimitedLog
 
 log = logging.getLogger("controller")
 
@@ -131,9 +135,17 @@
             self.watch, self.consensus, discovery, self.state_machine, clock, self.metrics
         )
         leader_calls = LeaderCalls(
-            self.consensus, self.state_machine, self.watch_service, self._own_address, clock
+            self.consensus,
+            self.state_machine,
+            self.watch_service,
+            RefusedChanges(self.metrics, RateLimitedLog("controller", log.warning).write),
+            self._own_address,
+            clock,
         )
         self.forwarder = CallForwarder(self.consensus, leader_calls, discovery, self.rpc, clock)
+        self.operation_claims = OperationClaims(
+            self.consensus, self.state_machine, discovery, self._current_settings, clock, self.metrics
+        )
         self.draft_delivery = self._make_draft_delivery()
         self.drafts = self._make_draft_service()
         self.control_api = ControlApi(self.forwarder, self.drafts, self.metrics)
@@ -240,6 +252,7 @@
         self.draft_delivery.close()
         self.consensus.close()
         self.watch_service.close()
+        self.operation_claims.close()
         if self.storage is not None:
             self.storage.executor.shutdown(wait=True, cancel_futures=True)
             self.storage.log_store.close()
@@ -271,6 +284,8 @@
                 return await self.forwarder.execute_as_leader(message)
             case rpc_messages.CopyDraft():
                 return await self.drafts.store_copy(message)
+            case rpc_messages.ClaimRequest():
+                return await self.operation_claims.handle_claim(message)
             case _:
                 return None
 
--- a/lapisgrade/gateway/routing/request.py
+++ b/lapisgrade/gateway/routing/request.py
@@ -4,7 +4,8 @@
 from http import HTTPStatus
 from typing import Any
 
-from lapisgrade.gateway.configuration import Rule, Tenant
+from lapisgrade.gateway.configuration import Mode, Rule, Tenant
+from lapisgrade.gateway.operations import outcomes
 from lapisgrade.interface import Operation, Reject
 
 
@@ -20,11 +21,13 @@
     rule: Rule
     tenant: Tenant | None  # None: a public route
     service: str
+    operation_key: str = ""  # set where the route is keyed
+    response: outcomes.Outcome | None = None  # of a keyed request: the server's complete response
 
     @property
     def is_idempotent(self) -> bool:
         """Whether it may run more than once."""
-        return self.rule.mode == "idem"
+        return self.rule.mode is Mode.IDEM
 
 
 @dataclass(slots=True)
@@ -32,3 +35,10 @@
     """Answer the client ourselves, with this HTTP status."""
 
     status: HTTPStatus = HTTPStatus.SERVICE_UNAVAILABLE
+
+
+@dataclass(slots=True)
+class RespondAgain(Reject):
+    """Answer the client with the response that an earlier attempt at its operation got from its server."""
+
+    outcome: outcomes.Outcome = outcomes.UNKNOWN
--- a/lapisgrade/lab/partitions/operations.py
+++ b/lapisgrade/lab/partitions/operations.py
@@ -27,7 +27,7 @@
 from lapisgrade.lab.partitions.operation_history import Attempt, AttemptEnd, History, violations
 from lapisgrade.lab.partitions.operation_server import OperationServer
 
-MODE = "mutate"  # of the operations' route
+MODE = "keyed"  # of the operations' route
 MACHINES, CONTROLLERS, SERVERS = 5, 3, 4
 OPERATION_CLIENTS, LOOKUP_CLIENTS = 8, 4
 FAULTS_S = 8.0  # that faults are begun for
