Operations: a key whose record may be past its retention is decided by the log; tests of the leader's part

Cause: the table's clock moves with the batches alone, so without other claims an old record was answered from the table for ever.

--- a/lapisgrade/gateway/controller/operation_claims.py
+++ b/lapisgrade/gateway/controller/operation_claims.py
@@ -23,7 +23,7 @@
     is_valid,
     known_holder,
 )
-from lapisgrade.gateway.operations.table import Claim, ClaimResult
+from lapisgrade.gateway.operations.table import Claim, ClaimResult, OperationRecord
 from lapisgrade.gateway.rpc_messages import ClaimReply, ClaimRequest
 from lapisgrade.gateway.settings import Settings
 
@@ -75,7 +75,7 @@
         if not is_valid(claim):
             self._metrics.claims_invalid += 1
             return ClaimReply(True)
-        holder = known_holder(self._state_machine.state.operations, claim)
+        holder = self._known_holder(claim)
         if holder is not None:
             return self._known(claim, ClaimResult(holder.attempt, holder.owner))
         if len(self._waiting) >= MAX_WAITING_CLAIMS:
@@ -83,6 +83,15 @@
         result = await self._record(claim)
         return self._known(claim, result) if result is not None else self._unknown()
 
+    def _known_holder(self, claim: Claim) -> OperationRecord | None:
+        """Return who holds a claim's key by the applied table."""
+        table = self._state_machine.state.operations
+        elapsed_us = self._leadership_clock.elapsed_us(self._clock(), self._consensus.started_node.term)
+        return known_holder(table, claim, table.clock_us + elapsed_us - self._retention_us())
+
+    def _retention_us(self) -> int:
+        return int(self._settings().slo.key_win) + RETENTION_MARGIN_US
+
     # ---- replies
 
     def _unknown(self) -> ClaimReply:
@@ -135,9 +144,8 @@
         """Put claims into the log, and return their results once they are applied; None for unknown ones."""
         if not self._consensus.is_leader():
             return None
-        elapsed_us = self._leadership_clock.elapsed_us(self._clock(), self._consensus.started_node.term)
-        retention_us = int(self._settings().slo.key_win) + RETENTION_MARGIN_US
-        command = ClaimOperations(elapsed_us, retention_us, claims)
+        elapsed_us = self._leadership_clock.start_batch(self._clock(), self._consensus.started_node.term)
+        command = ClaimOperations(elapsed_us, self._retention_us(), claims)
         self._metrics.claim_batches += 1
         applied = await self._consensus.propose(encode_command(command))
         return applied.claim_results if applied is not None else None
--- a/lapisgrade/gateway/operations/claim_batches.py
+++ b/lapisgrade/gateway/operations/claim_batches.py
@@ -27,14 +27,16 @@
     return has_names and has_key and is_bounded and _is_address(claim.owner)
 
 
-def known_holder(table: OperationTable, claim: Claim) -> OperationRecord | None:
-    """Return who holds the claim's key whatever the claim says, so that no log entry is needed.
+def known_holder(table: OperationTable, claim: Claim, oldest_us: int) -> OperationRecord | None:
+    """Return who holds the claim's key whatever the log would say of the claim, so that it needs no entry.
 
-    That may be the claim's own attempt, recorded earlier. A record beyond its retention that is still in the
-    table counts: a key is held too long rather than too short.
+    That may be the claim's own attempt, recorded earlier. A record that was claimed before `oldest_us` may be
+    beyond its retention: the log decides.
     """
     record = table.find(claim.tenant, claim.key)
-    return record if record is not None and record.attempt != claim.replaces else None
+    if record is None or record.attempt == claim.replaces or record.claimed_us < oldest_us:
+        return None
+    return record
 
 
 class LeadershipClock:
@@ -46,14 +48,18 @@
         self._batch_us = 0  # when the last batch of that term was made
 
     def elapsed_us(self, now_us: int, term: int) -> int:
-        """Return the time since the last call in the same term of leadership; 0 for the first.
+        """Return the time since the last batch in the same term of leadership; 0 before the first.
 
         A node leads a term at most once, so time under another leader is never counted.
         """
-        elapsed_us = now_us - self._batch_us if term == self._term else 0
+        return max(0, now_us - self._batch_us) if term == self._term else 0
+
+    def start_batch(self, now_us: int, term: int) -> int:
+        """Return the time that the next batch counts; what is measured from now on is the one's after it."""
+        elapsed_us = self.elapsed_us(now_us, term)
         self._term = term
         self._batch_us = now_us
-        return max(0, elapsed_us)
+        return elapsed_us
 
 
 def _size(text: str) -> int:
--- a/lapisgrade/lab/simulation/defects/claims.py
+++ b/lapisgrade/lab/simulation/defects/claims.py
@@ -41,7 +41,7 @@
     return _claim(self, claim)
 
 
-def _elapsed_since_any_batch(self: LeadershipClock, now_us: int, term: int) -> int:
+def _start_batch_since_any(self: LeadershipClock, now_us: int, term: int) -> int:
     """A leader that leads again counts the time of those between."""
     elapsed_us = now_us - self._batch_us if self._batch_us else 0
     self._batch_us = now_us
@@ -53,5 +53,5 @@
     "granted-at-once": Defect(OperationClaims, "_propose", _propose_answering_at_once),
     "granted-while-unknown": Defect(OperationClaims, "_propose", _propose_granting_unknown),
     "taken-from-anyone": Defect(OperationTable, "claim", _claim_from_anyone),
-    "time-of-other-leaders": Defect(LeadershipClock, "elapsed_us", _elapsed_since_any_batch),
+    "time-of-other-leaders": Defect(LeadershipClock, "start_batch", _start_batch_since_any),
 }
--- a/tests/gateway/operations/test_table.py
+++ b/tests/gateway/operations/test_table.py
@@ -74,11 +74,11 @@
 def test_clock_counts_only_time_under_one_leader_and_never_runs_backwards():
     clock, table = LeadershipClock(), OperationTable()
     counted = [
-        clock.elapsed_us(now_us, term)
+        clock.start_batch(now_us, term)
         for now_us, term in ((9_000_000, 3), (9_500_000, 3), (60_000_000, 5), (59_000_000, 5))
     ]
     assert counted == [0, 500_000, 0, 0]
-    assert LeadershipClock().elapsed_us(9_000_000, 1) == 0  # a process that was restarted leads at once
+    assert LeadershipClock().start_batch(9_000_000, 1) == 0  # a process that was restarted leads at once
     table.advance(-5, RETENTION_US)
     assert table.clock_us == 0
 
@@ -98,14 +98,14 @@
         assert (table.records, table.tenant_records) == ({}, {})
 
 
-def test_what_is_held_is_known_without_a_log_entry_but_for_its_take_over():
+def test_what_is_held_is_known_without_a_log_entry_but_for_its_take_over_and_its_expiry():
     table = OperationTable()
-    assert known_holder(table, claim("a")) is None
+    assert known_holder(table, claim("a"), 0) is None
     table.claim(claim("a"))
-    assert [known_holder(table, each).attempt for each in (claim("a"), claim("b"), claim("b", "x"))] == [
-        "a"
-    ] * 3
-    assert known_holder(table, claim("b", "a")) is None
+    asked = [claim("a"), claim("b"), claim("b", "x")]
+    assert [known_holder(table, each, 0).attempt for each in asked] == ["a"] * 3
+    assert known_holder(table, claim("b", "a"), 0) is None
+    assert known_holder(table, claim("b"), 1) is None
 
 
 def test_malformed_claims_are_told_apart():
