--- a/lapisgrade/gateway/consensus/node.py
+++ b/lapisgrade/gateway/consensus/node.py
@@ -207,9 +207,12 @@
         """Bring the node's clock up to the shell's; it never runs backwards."""
         self.state.advance_clock(now_us)
 
-    def propose(self, data: bytes) -> tuple[int, int] | None:
-        """Put a command into the log; returns its index and term, or None where this isn't the leader."""
-        return self.replication.propose(data)
+    def propose(self, data: bytes, announces_commit: bool = True) -> tuple[int, int] | None:
+        """Put a command into the log; returns its index and term, or None where this isn't the leader.
+
+        Followers are told at once that it is committed if it `announces_commit`, else with the next message.
+        """
+        return self.replication.propose(data, announces_commit)
 
     def compact(self, snapshot: bytes) -> None:
         """Take the state machine's state after all entries up to `commit_index` in their place."""
--- a/lapisgrade/gateway/consensus/reconfiguration.py
+++ b/lapisgrade/gateway/consensus/reconfiguration.py
@@ -76,6 +76,7 @@
             return
         state.append([Entry(state.log.last_index + 1, state.term, b"", voters)])
         self._update_followers(voters)
+        replication.announce_commit_of(state.log.last_index)
         replication.send_to_all()
         replication.advance_commit()
 
--- a/lapisgrade/gateway/consensus/replication.py
+++ b/lapisgrade/gateway/consensus/replication.py
@@ -39,6 +39,7 @@
             str, FollowerProgress
         ] = {}  # by identity, voters and learners; empty unless leader
         self.first_index = 0  # of this leader's entries
+        self._announced_index = 0  # of the newest entry whose commit the followers are told at once
         self.heartbeat_due_us = 0
 
     # ---- beginning and end of leadership
@@ -56,6 +57,7 @@
         # With the voters, as a node that joins learns them from the log alone.
         state.append([Entry(state.log.last_index + 1, state.term, b"", dict(state.voters))])
         self.first_index = state.log.last_index
+        self._announced_index = state.log.last_index
         self.heartbeat_due_us = state.now_us + HEARTBEAT_INTERVAL_US
         self.send_to_all(heartbeat=True)
         self.advance_commit()
@@ -103,17 +105,28 @@
 
     # ---- messages to followers
 
-    def propose(self, data: bytes) -> tuple[int, int] | None:
-        """Append a command and replicate it; returns its index and term, or None if this isn't the leader."""
+    def propose(self, data: bytes, announces_commit: bool = True) -> tuple[int, int] | None:
+        """Append a command and replicate it; returns its index and term, or None if this isn't the leader.
+
+        Args:
+            data: the encoded command.
+            announces_commit: whether the followers are told of its commit at once, not with the next message.
+        """
         state = self.state
         if not state.is_leader:
             return None
         entry = Entry(state.log.last_index + 1, state.term, data)
         state.append([entry])
+        if announces_commit:
+            self.announce_commit_of(entry.index)
         self.send_to_all()
         self.advance_commit()
         return entry.index, entry.term
 
+    def announce_commit_of(self, index: int) -> None:
+        """Have the followers told at once when that entry is committed."""
+        self._announced_index = max(self._announced_index, index)
+
     def send_to_all(self, heartbeat: bool = False) -> None:
         """Send each follower what it lacks."""
         for name in self.followers:
@@ -264,7 +277,9 @@
         durable.sort(reverse=True)
         index = durable[len(voters) // 2] if voters else 0
         if index > state.commit_index and state.log.term_at(index) == state.term:
+            is_announced = state.commit_index < self._announced_index
             state.commit_up_to(index)
-            self.send_to_all(heartbeat=True)
+            if is_announced:
+                self.send_to_all(heartbeat=True)
         if state.identity not in voters and state.commit_index >= state.log.last_index:
             self._transitions.become_follower(state.term)  # its own removal is committed (thesis, 4.2.2)
--- a/lapisgrade/gateway/controller/consensus_driver.py
+++ b/lapisgrade/gateway/controller/consensus_driver.py
@@ -163,14 +163,18 @@
         self.started_node.step_down()
         self.step()
 
-    async def propose(self, data: bytes) -> ApplyResult | None:
+    async def propose(self, data: bytes, announces_commit: bool = True) -> ApplyResult | None:
         """Put an encoded command into the log and wait until it is applied.
 
+        Args:
+            data: The encoded command.
+            announces_commit: As for `Node.propose`.
+
         Returns:
             The state machine's result. None if this node doesn't lead, or if the outcome is not known
             within `COMMIT_TIMEOUT_S`: the command may be applied later.
         """
-        position = self.started_node.propose(data)
+        position = self.started_node.propose(data, announces_commit)
         if position is None:
             return None
         future: asyncio.Future[ApplyResult | None] = asyncio.get_running_loop().create_future()
--- a/lapisgrade/gateway/controller/operation_claims.py
+++ b/lapisgrade/gateway/controller/operation_claims.py
@@ -147,5 +147,6 @@
         elapsed_us = self._leadership_clock.start_batch(self._clock(), self._consensus.started_node.term)
         command = ClaimOperations(elapsed_us, self._retention_us(), claims)
         self._metrics.claim_batches += 1
-        applied = await self._consensus.propose(encode_command(command))
+        # Nobody reads a follower's table: it is told of the commit with the next batch or heartbeat.
+        applied = await self._consensus.propose(encode_command(command), announces_commit=False)
         return applied.claim_results if applied is not None else None
