Follower: of two writes under way the second is acknowledged too, not with the next heartbeat

Cause: the message to be acknowledged was forgotten with the first write that ended; the entries of the second were on disk, and the leader learned of it up to 100 ms later. The new test fails without the change.

--- a/lapisgrade/gateway/consensus/follower.py
+++ b/lapisgrade/gateway/consensus/follower.py
@@ -49,7 +49,9 @@
 
     def on_write_durable(self) -> None:
         """Acknowledge what waited for the disk."""
-        message, self._unacknowledged = self._unacknowledged, None
+        message = self._unacknowledged
+        if self.state.durable_index >= self.agreed_index:
+            self._unacknowledged = None
         if message is not None:
             self.acknowledge(message)
 
--- a/tests/gateway/consensus/test_follower.py
+++ b/tests/gateway/consensus/test_follower.py
@@ -24,6 +24,16 @@
     assert take_effects(node).sends[-1][1].match_index == 2
 
 
+def test_each_of_two_writes_under_way_is_acknowledged_once_it_is_durable() -> None:
+    node = new_node()
+    node.receive(NOW, append_entries(3, (0, 0), [Entry(1, 3)]))
+    node.receive(NOW, append_entries(3, (1, 3), [Entry(2, 3)]))
+    take_effects(node)
+    for index in (1, 2):
+        node.on_write_durable(NOW, index, 3)
+        assert [message.match_index for _, message in take_effects(node).sends] == [index]
+
+
 def test_conflicting_entries_are_removed_with_all_that_follow() -> None:
     node = new_node()
     node.receive(NOW, append_entries(3, (0, 0), [Entry(1, 3), Entry(2, 3, b"old"), Entry(3, 3)]))
