--- a/lapisgrade/gateway/consensus/node.py
+++ b/lapisgrade/gateway/consensus/node.py
@@ -208,12 +208,15 @@
         """Bring the node's clock up to the shell's; it never runs backwards."""
         self.state.advance_clock(now_us)
 
-    def propose(self, data: bytes) -> tuple[int, int] | None:
+    def propose(self, data: bytes, announces_commit: bool = True) -> tuple[int, int] | None:
         """Put a command into the log; returns its index and term.
 
-        Returns None where this isn't the leader, or is one that shuts down.
+        Returns None where this isn't the leader, or is one that shuts down. Followers are told at once that it
+        is committed if it `announces_commit`, else with the next message.
         """
-        return None if self.state.is_stopping else self.replication.propose(data)
+        if self.state.is_stopping:
+            return None
+        return self.replication.propose(data, announces_commit)
 
     def compact(self, snapshot: bytes) -> None:
         """Take the state machine's state after all entries up to `commit_index` in their place."""
