--- a/lapisgrade/gateway/proxy/client_front.py
+++ b/lapisgrade/gateway/proxy/client_front.py
@@ -112,12 +112,12 @@
     keys = {value for name, value in fields if name.lower() == upstream_protocol.OPERATION_KEY}
     if len(keys) > 1:
         raise MalformedMessageError("a keyed request with several operation keys")
-    key: bytes = keys.pop() if keys else b""
+    key = keys.pop().decode("latin-1") if keys else ""
     if not key:
         raise MalformedMessageError("a keyed request without an operation key")
-    if len(key) > MAX_KEY_BYTES:
+    if len(key.encode()) > MAX_KEY_BYTES:  # as claims carry it
         raise MalformedMessageError(f"an operation key longer than {MAX_KEY_BYTES} bytes")
-    return key.decode("latin-1")
+    return key
 
 
 def forwarded_request(
