Heads of requests are taken up to the configured size (HdrBytes)

It is now taken up to HdrBytes, at least 16,384 bytes and at most 1 MB.

test_denied_no_request_whose_head_is_within_the_configured_size failed before (431) and passes; tests/net and test_request_rules pass (pytest -n 2).

--- a/lapisgrade/gateway/proxy/client_front.py
+++ b/lapisgrade/gateway/proxy/client_front.py
@@ -14,7 +14,7 @@
 from lapisgrade.gateway.routing.router import Router
 from lapisgrade.net.client_connection import ClientConnection
 from lapisgrade.net.client_listener import ClientListener
-from lapisgrade.net.http import MalformedMessageError
+from lapisgrade.net.http import MAX_HEAD_BYTES, MalformedMessageError
 from lapisgrade.net.http import Message as HttpMessage
 
 NOT_YET_ACTIVE_RETRY_S = 0.2  # after which one comes back whose version is about to be active
@@ -24,6 +24,7 @@
 IDLE_GRACE_S = 1.0  # that a client's connection may be idle beyond the configured time
 REQUEST_GRACE_S = 7.0  # that a request may take to arrive beyond the configured time for its headers
 MIN_HEADER_TIMEOUT_S = 1.0
+LARGEST_HEAD_BYTES = 1 << 20  # of a request's head, whatever is configured (guards memory)
 
 
 class ClientFront(ClientListener):
@@ -48,6 +49,7 @@
         self.idle_timeout_s = caps.idle / SECOND + IDLE_GRACE_S
         self.request_timeout_s = max(caps.hdr / SECOND, MIN_HEADER_TIMEOUT_S) + REQUEST_GRACE_S
         self.max_body_bytes = caps.body_bytes
+        self.max_head_bytes = min(max(caps.hdr_bytes, MAX_HEAD_BYTES), LARGEST_HEAD_BYTES)
 
     def parse_request(self, client: ClientConnection, message: HttpMessage) -> RoutedRequest | None:
         """The request to route; None where it has been refused.
--- a/lapisgrade/net/client_connection.py
+++ b/lapisgrade/net/client_connection.py
@@ -60,7 +60,7 @@
     def __init__(self, listener: "ClientListener", writer: asyncio.StreamWriter) -> None:
         self._listener = listener
         self._writer = writer
-        self._parser = MessageParser(h11.SERVER, listener.max_body_bytes)
+        self._parser = MessageParser(h11.SERVER, listener.max_body_bytes, listener.max_head_bytes)
         self._pipelined = b""  # received while a request awaits its response
         self._closes_after_response = False
         self._request_timer: asyncio.TimerHandle | None = None  # runs while RECEIVING
@@ -212,6 +212,7 @@
 
     def _expect_next(self) -> None:
         """The last request has its response; the connection is idle until the next one comes."""
-        self._parser = MessageParser(h11.SERVER, self._listener.max_body_bytes)
+        listener = self._listener
+        self._parser = MessageParser(h11.SERVER, listener.max_body_bytes, listener.max_head_bytes)
         if not self._writer.is_closing():
             self._listener.mark_idle(self)
--- a/lapisgrade/net/client_listener.py
+++ b/lapisgrade/net/client_listener.py
@@ -9,7 +9,7 @@
 from lapisgrade.net.close_reason import CloseReason
 from lapisgrade.net.connection import limit_read_size
 from lapisgrade.net.events import Event
-from lapisgrade.net.http import MAX_BODY_BYTES, Message
+from lapisgrade.net.http import MAX_BODY_BYTES, MAX_HEAD_BYTES, Message
 from lapisgrade.net.metrics import NetMetrics
 from lapisgrade.net.request_parser import RequestParser
 
@@ -34,6 +34,7 @@
     READINESS_TARGET = b"/up"
     # Another protocol of clients sets these on its own listener.
     max_body_bytes = MAX_BODY_BYTES
+    max_head_bytes = MAX_HEAD_BYTES
     request_timeout_s = REQUEST_TIMEOUT_S
     idle_timeout_s = IDLE_TIMEOUT_S
 
--- a/lapisgrade/net/http.py
+++ b/lapisgrade/net/http.py
@@ -12,6 +12,7 @@
 from lapisgrade.errors import LapisgradeError
 
 MAX_BODY_BYTES = 65_536  # the limit of the limiter's protocol
+MAX_HEAD_BYTES = 16_384  # of a start line with its header fields
 # A h11 client takes a response also where no request has passed through it, but no interim one (1xx). A bare
 # request before those is all that it needs; without one, a response costs a third less to read.
 _PRIMING_REQUEST = h11.Request(method=b"GET", target=b"/", headers=[(b"Host", b"-")])
@@ -46,9 +47,11 @@
 
     __slots__ = ("_awaits_response", "_body", "_head", "_machine", "_max_body_bytes", "_size")
 
-    def __init__(self, role: type, max_body_bytes: int = MAX_BODY_BYTES) -> None:
+    def __init__(
+        self, role: type, max_body_bytes: int = MAX_BODY_BYTES, max_head_bytes: int = MAX_HEAD_BYTES
+    ) -> None:
         """`role` is ours: `h11.SERVER` reads a request, `h11.CLIENT` a response."""
-        self._machine = h11.Connection(role)
+        self._machine = h11.Connection(role, max_incomplete_event_size=max_head_bytes)
         self._max_body_bytes = max_body_bytes
         self._awaits_response = role is h11.CLIENT
         self._head: h11.Request | h11.Response | None = None
--- a/tests/gateway/proxy/test_request_rules.py
+++ b/tests/gateway/proxy/test_request_rules.py
@@ -66,6 +66,22 @@
         assert max(runs) <= SAMPLE["Ports"][0]["Policy"][0]["Action"]["Tries"]
 
 
+async def test_denied_no_request_whose_head_is_within_the_configured_size() -> None:
+    """However its bytes arrive; one beyond that size is refused."""
+    conf = {**SAMPLE, "Caps": {**SAMPLE["Caps"], "HdrBytes": 40_000}}
+    async with serving_cluster(conf) as site:
+        for size, expected in ((30_000, b"HTTP/1.1 200"), (50_000, b"HTTP/1.1 431")):
+            reader, writer = await asyncio.open_connection(*site.http("m1"))
+            head = f"GET /stock/1 HTTP/1.1\r\nHost: a.example\r\nTry-Id: {size}\r\nDeadline-Ms: 2000\r\n"
+            writer.write(f"{head}Authorization: Bearer {KEY}\r\nX-Long: ".encode())
+            for _ in range(size // 10_000):
+                writer.write(b"x" * 10_000)
+                await asyncio.sleep(0.05)  # so that it is read in parts
+            writer.write(b"\r\n\r\n")
+            assert (await reader.read(100)).startswith(expected)
+            writer.close()
+
+
 async def test_refused_a_servers_503_for_what_it_ran_is_no_promise_of_ours() -> None:
     async with serving_cluster() as site:
         server = site.servers["i-1"]
