--- a/lapisgrade/lab/partitions/operation_faults.py
+++ b/lapisgrade/lab/partitions/operation_faults.py
@@ -5,6 +5,7 @@
 import os
 import signal
 from collections import Counter
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -105,9 +106,12 @@
             doing = [act(role, name)]
         self.done[fault] += 1
         for each in doing:
-            task = asyncio.get_running_loop().create_task(each)
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._start_task(each)
+
+    def _start_task(self, doing: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(doing)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def _is_another_controller_down(self, name: str) -> bool:
         """Whether a majority would be lost with this one."""
@@ -201,13 +205,21 @@
         if process.returncode is not None:
             if process.pid not in self._ended_by_us:
                 self._ended_by_us.add(process.pid)
-                last = self._last_lines(role, name)
-                fault = f"{role} of {name} ended by itself with {process.returncode}: {last}"
-                self.history.process_faults.append(fault)
+                self._on_unexpected_end(role, name, process)
             return
         with contextlib.suppress(OSError):  # it ends as we look
             self._note_usage(f"{role} of {name}", Path("/proc") / str(process.pid))
 
+    def _on_unexpected_end(self, role: str, name: str, process: asyncio.subprocess.Process) -> None:
+        """Note a process that ended by itself; only a SIGHUP before any of our code ran may do that."""
+        if process.returncode == -signal.SIGHUP and self._is_starting(process):
+            self.done["SIGHUP before the interpreter was up"] += 1
+        else:
+            last = self._last_lines(role, name)
+            fault = f"{role} of {name} ended by itself with {process.returncode}: {last}"
+            self.history.process_faults.append(fault)
+        self._start_task(self._start_again(role, name, process))
+
     def _last_lines(self, role: str, name: str) -> str:
         """What its log says at the end."""
         log = Path(self.fleet.folder) / f"{name}-{role}.log"
