--- a/lapisgrade/lab/simulation/machine.py
+++ b/lapisgrade/lab/simulation/machine.py
@@ -93,7 +93,7 @@
         self.machine = machine
 
         def clock() -> int:
-            return cluster.loop.now_us + process.skew_us
+            return process.clock_us(cluster.loop.now_us)
 
         def rpc(on_call: OnCall, on_message: OnMessage) -> Endpoint:
             return Endpoint(cluster.network, process, machine.ip, on_call, on_message)
--- /dev/null
+++ b/lapisgrade/lab/simulation/operations/clients.py
@@ -0,0 +1,126 @@
+"""Clients of keyed operations: they repeat keys after failures, after good answers, at their window's end."""
+
+import asyncio
+from collections.abc import Coroutine
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from lapisgrade.lab.simulation.operations.exchange import REQUEST_DEADLINE_MS, Exchange
+from lapisgrade.lab.simulation.operations.history import OK, Answer, OperationId, Try
+from lapisgrade.lab.simulation.operations.proxy import KeyedProxyMachine
+from lapisgrade.lab.simulation.virtual_loop import CURRENT, SECOND, Process
+
+if TYPE_CHECKING:
+    from lapisgrade.lab.simulation.operations.simulation import KeyedSimulation
+
+TENANTS = ("ana", "ben")
+ANSWER_TIMEOUT_S = REQUEST_DEADLINE_MS / 1000 + 0.2
+MAX_TRIES = 5  # in a row, of one operation
+MAX_PAUSE_S = 0.8  # before a repeat
+REPEAT_AFTER_SUCCESS_RATE = 0.4
+SAME_PROXY_RATE = 0.3  # of the repeats
+AT_ONCE_RATE = 0.1  # of the operations whose first two tries are sent together
+LEAVE_RATE = 0.08  # of the tries whose client leaves before the answer
+MAX_STAY_S = 0.3  # until it leaves
+SHARED_KEY_RATE = 0.15  # of the keys that both tenants use
+LATE_REPEAT_PARTS = (0.5, 0.9, 0.97, 0.998, 1.02, 1.3)  # of the window, since the first try was sent
+
+
+def api_key_of(tenant: str) -> str:
+    """Return the API key that a tenant's clients bear."""
+    return f"key-of-{tenant}"
+
+
+class KeyedClients:
+    """All clients, on hosts that no fault affects.
+
+    Attributes:
+        keys_per_second: How many new operations begin.
+        late_repeat_rate: The part of them that is repeated near the end of the window.
+        is_open: Whether new operations begin at all.
+    """
+
+    def __init__(self, simulation: "KeyedSimulation", random: Random) -> None:
+        self.simulation = simulation
+        self.loop = simulation.loop
+        self.random = random
+        self.process: Process = simulation.client_process
+        self.keys_per_second = 6.0
+        self.late_repeat_rate = 0.0
+        self.is_open = True
+        self._exchanges: dict[str, Exchange] = {}  # by try
+        self._key_count = 0
+        self._try_count = 0
+
+    def start_task(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task:
+        """Start a task in the clients' process."""
+        token = CURRENT.set(self.process)
+        try:
+            return self.loop.create_task(work)
+        finally:
+            CURRENT.reset(token)
+
+    async def run(self) -> None:
+        """Begin one operation after another."""
+        while self.is_open:
+            await asyncio.sleep(self.random.expovariate(self.keys_per_second))
+            key = self.new_key()
+            is_shared = self.random.random() < SHARED_KEY_RATE
+            for tenant in TENANTS if is_shared else [self.random.choice(TENANTS)]:
+                self.start_task(self._operate((tenant, key)))
+
+    def new_key(self) -> str:
+        """Return a key that was not used before."""
+        self._key_count += 1
+        return f"k-{self._key_count}"
+
+    async def _operate(self, operation: OperationId) -> None:
+        """Send an operation's tries until one has succeeded, and at times again."""
+        first_sent_us = self.loop.now_us
+        machine = self.random.choice(self.simulation.machines)
+        if self.random.random() < AT_ONCE_RATE:
+            self.start_task(self.send(operation, self.random.choice(self.simulation.machines)))
+        for _ in range(MAX_TRIES):
+            answer = await self.send(operation, machine)
+            is_served = answer is not None and answer.status == OK
+            if is_served and self.random.random() > REPEAT_AFTER_SUCCESS_RATE:
+                break
+            await asyncio.sleep(MAX_PAUSE_S * self.random.random() ** 2)
+            if self.random.random() > SAME_PROXY_RATE:
+                machine = self.random.choice(self.simulation.machines)
+        if self.random.random() < self.late_repeat_rate:
+            await self._repeat_late(operation, first_sent_us)
+
+    async def _repeat_late(self, operation: OperationId, first_sent_us: int) -> None:
+        """Send a try so long after the first one."""
+        part = self.random.choice(LATE_REPEAT_PARTS)
+        due_us = first_sent_us + round(part * self.simulation.operations.window_us)
+        await asyncio.sleep(max(0, due_us - self.loop.now_us) / SECOND)
+        await self.send(operation, self.random.choice(self.simulation.machines))
+
+    def is_alive(self, try_id: str) -> bool:
+        """Return whether the process that took a try still runs."""
+        process = self._exchanges[try_id].process
+        return process is not None and process.is_alive
+
+    async def send(
+        self, operation: OperationId, machine: KeyedProxyMachine, may_leave: bool = True
+    ) -> Answer | None:
+        """Send one try, and wait for its answer; None for none, or for a client that left."""
+        self._try_count += 1
+        sent = Try(operation, f"try-{self._try_count}", self.loop.now_us, machine.name)
+        history = self.simulation.operations
+        history.on_sent(sent)
+        exchange = Exchange(self.loop, machine, sent, api_key_of(operation[0]))
+        self._exchanges[sent.try_id] = exchange
+        leaves = may_leave and self.random.random() < LEAVE_RATE
+        timeout_s = MAX_STAY_S * self.random.random() if leaves else ANSWER_TIMEOUT_S
+        try:
+            async with asyncio.timeout(timeout_s):
+                answer = await asyncio.shield(exchange.answer)
+        except TimeoutError:
+            exchange.leave()
+            return None
+        if answer is not None:
+            history.on_answer(sent, answer)
+        return answer
--- /dev/null
+++ b/lapisgrade/lab/simulation/operations/exchange.py
@@ -0,0 +1,130 @@
+"""One request of a client to a proxy: the proxy's real `ClientConnection`, without a socket."""
+
+import asyncio
+from collections.abc import Callable
+
+import h11
+
+from lapisgrade.lab.simulation.operations.history import Answer, Try
+from lapisgrade.lab.simulation.operations.proxy import KeyedProxyMachine
+from lapisgrade.lab.simulation.proxies import HOST
+from lapisgrade.lab.simulation.virtual_loop import Process, VirtualLoop
+from lapisgrade.net.client_connection import ClientConnection
+from lapisgrade.net.http import MessageParser
+
+MIN_WAY_US, MAX_WAY_US = 300, 8_000  # between a client and a proxy
+REQUEST_DEADLINE_MS = 2_000
+
+
+class ReceivedBytes:
+    """A `StreamWriter` whose bytes go to a simulated client."""
+
+    def __init__(
+        self, loop: VirtualLoop, reader: asyncio.StreamReader, on_bytes: Callable[[bytes], None]
+    ) -> None:
+        self.transport = self
+        self._loop = loop
+        self._reader = reader
+        self._on_bytes = on_bytes
+        self._is_closing = False
+
+    def write(self, data: bytes) -> None:
+        """Send bytes to the client."""
+        self._on_bytes(bytes(data))
+
+    def writelines(self, chunks: list[bytes]) -> None:
+        """Send bytes to the client."""
+        self.write(b"".join(bytes(each) for each in chunks))
+
+    def get_write_buffer_size(self) -> int:
+        """All that was written is out."""
+        return 0
+
+    def is_closing(self) -> bool:
+        """Whether `close` was called."""
+        return self._is_closing
+
+    def close(self) -> None:
+        """Close the connection: the reader sees its end, and the client that nothing more comes."""
+        if not self._is_closing:
+            self._is_closing = True
+            self._loop.call_soon(self._reader.feed_eof)
+            self._on_bytes(b"")
+
+    abort = close
+
+
+class Exchange:
+    """A try on its way; `answer` ends with what the client received, None for nothing whole."""
+
+    def __init__(self, loop: VirtualLoop, machine: KeyedProxyMachine, sent: Try, api_key: str) -> None:
+        self.answer: asyncio.Future[Answer | None] = loop.create_future()
+        self._loop = loop
+        self._machine = machine
+        self._sent = sent
+        self._client = machine.simulation.client_process
+        self._reader: asyncio.StreamReader | None = None
+        self.process: Process | None = None  # that took it
+        self._parser = MessageParser(h11.CLIENT)
+        loop.schedule(self._way_us(), None, self._arrive, encode_request(sent, api_key))
+
+    def leave(self) -> None:
+        """Close the client's side."""
+        self._resolve(None)
+        if self._reader is not None and self.process is not None:
+            self._loop.schedule(self._way_us(), self.process, self._reader.feed_eof)
+
+    def reset(self) -> None:
+        """The proxy's process has ended: the client sees its connection break."""
+        self._loop.schedule(self._way_us(), self._client, self._resolve, None)
+
+    def _way_us(self) -> int:
+        return self._loop.random.randrange(MIN_WAY_US, MAX_WAY_US)
+
+    def _arrive(self, request: bytes) -> None:
+        if not self._machine.is_running:
+            return self.reset()
+        self.process = self._machine.process
+        self._machine.exchanges.append(self)
+        self._loop.schedule(0, self.process, self._open, request)
+
+    def _open(self, request: bytes) -> None:
+        """Handle the connection in the proxy's process."""
+        self._reader = asyncio.StreamReader(loop=self._loop)
+        front = self._machine.proxy.client_front
+        connection = ClientConnection(front, ReceivedBytes(self._loop, self._reader, self._send_to_client))
+        front.clients[connection] = None
+        front.mark_idle(connection)
+        self._reader.feed_data(request)
+        self._loop.create_task(connection.run(self._reader))
+
+    def _send_to_client(self, data: bytes) -> None:
+        self._loop.schedule(self._way_us(), self._client, self._on_bytes, data)
+
+    def _on_bytes(self, data: bytes) -> None:
+        if self.answer.done():
+            return
+        message = self._parser.feed(data) if data else None
+        if message is None:
+            return self._resolve(None)
+        fields = [(name.lower(), value.decode()) for name, value in message.head.headers.raw_items()]
+        try_ids = tuple(value for name, value in fields if name == b"try-id")
+        seal = "".join(value for name, value in fields if name == b"server-seal")
+        body = b"".join(bytes(each) for each in message.body)
+        self._resolve(Answer(message.head.status_code, try_ids, seal, body))
+
+    def _resolve(self, answer: Answer | None) -> None:
+        if not self.answer.done():
+            self.answer.set_result(answer)
+
+
+def encode_request(sent: Try, api_key: str) -> bytes:
+    """Return a try as it stands on the wire."""
+    _, key = sent.operation
+    body = f"order {key}".encode()
+    head = (
+        f"POST /keyed/1 HTTP/1.1\r\nHost: {HOST}\r\nTry-Id: {sent.try_id}\r\nOp-Key: {key}\r\n"
+        f"Deadline-Ms: {REQUEST_DEADLINE_MS}\r\nAuthorization: Bearer {api_key}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
--- /dev/null
+++ b/lapisgrade/lab/simulation/operations/faults.py
@@ -0,0 +1,140 @@
+"""Faults of keyed operations: at the proxy that runs one, at the leader, and of all machines at once."""
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from lapisgrade.lab.simulation.operations.proxy import KeyedProxyMachine
+from lapisgrade.lab.simulation.virtual_loop import SECOND, Process
+
+if TYPE_CHECKING:
+    from lapisgrade.lab.simulation.machine import Machine
+    from lapisgrade.lab.simulation.operations.simulation import KeyedSimulation
+
+CUT_DURATIONS_S = (0.3, 1.0, 2.5, 6.0)
+FREEZE_DURATIONS_S = (0.2, 0.8, 2.5)
+RESTART_DELAYS_S = (0.05, 0.3, 1.0, 3.0)
+STOP_RESTART_DELAY_S = 6.5  # after SIGTERM; its grace time is over by then
+MAX_SKEW_US = 500 * SECOND
+MAX_PACE_DEVIATION = 0.01  # of a steady clock; a hundred times that of real ones
+STALL_DURATIONS_S = (0.3, 1.5, 4.0)
+
+
+class KeyedFaults:
+    """Injects faults into proxies, and into all machines at once."""
+
+    def __init__(self, simulation: "KeyedSimulation", random: Random) -> None:
+        self.simulation = simulation
+        self.cluster = simulation.cluster
+        self.random = random
+        self.call_after = simulation.faults.call_after
+
+    # ---- one proxy
+
+    def inject_at_proxy(self) -> None:
+        """Inject a random fault into a proxy, more often than not the one that sent a request last."""
+        machine = self.simulation.last_sender()
+        if not machine.is_running or self.random.random() < 0.4:
+            running = [each for each in self.simulation.machines if each.is_running]
+            if not running:
+                return
+            machine = self.random.choice(running)
+        self.random.choice((self.kill, self.kill, self.stop, self.freeze, self.cut, self.change_clock))(
+            machine
+        )
+
+    def kill(self, machine: KeyedProxyMachine) -> None:
+        """Kill a proxy, and start it again."""
+        machine.kill()
+        self.call_after(self.random.choice(RESTART_DELAYS_S), machine.start)
+
+    def stop(self, machine: KeyedProxyMachine) -> None:
+        """Shut a proxy down as SIGTERM does, and start it again."""
+        machine.stop()
+        self.call_after(STOP_RESTART_DELAY_S, machine.start)
+
+    def freeze(self, machine: KeyedProxyMachine) -> None:
+        """Have a proxy run nothing for a while."""
+        machine.freeze(self.random.choice(FREEZE_DURATIONS_S))
+
+    def change_clock(self, machine: KeyedProxyMachine) -> None:
+        """Restart a proxy with another steady clock, which may also run at another pace."""
+        machine.kill()
+        machine.start(self.random.randrange(MAX_SKEW_US))
+        self.change_pace(machine.process)
+
+    def change_pace(self, process: Process) -> None:
+        """Have a process's steady clock run at another pace from now on."""
+        pace = 1 + self.random.uniform(-MAX_PACE_DEVIATION, MAX_PACE_DEVIATION)
+        process.set_pace(pace, self.simulation.loop.now_us)
+
+    def cut(self, machine: KeyedProxyMachine) -> None:
+        """Block a proxy's links to some or all machines, in both directions or in one."""
+        everyone = [*self.simulation.machines, *self.cluster.machines.values()]
+        others = [each.ip for each in everyone if each is not machine]
+        if self.random.random() < 0.4:
+            others = self.random.sample(others, self.random.randrange(1, len(others)))
+        direction = self.random.choice(("both ways", "outbound", "inbound"))
+        blocked = self.cluster.network.blocked_links
+        if direction != "inbound":
+            blocked |= {(machine.ip, other) for other in others}
+        if direction != "outbound":
+            blocked |= {(other, machine.ip) for other in others}
+        seconds = self.random.choice(CUT_DURATIONS_S)
+        self.cluster.note(f"{machine.name}: cut from {len(others)}, {direction}, for {seconds} s")
+        self.call_after(seconds, self.cluster.heal)
+
+    # ---- the controllers
+
+    def cut_leader(self) -> None:
+        """Cut the leader off with some of the proxies on its side."""
+        leader = self.cluster.leader()
+        if leader is None:
+            return
+        near = [each.ip for each in self.simulation.machines if self.random.random() < 0.5]
+        inside = [leader.ip, *near]
+        everyone = [*self.simulation.machines, *self.cluster.machines.values()]
+        outside = [each.ip for each in everyone if each.ip not in inside]
+        direction = self.random.choice(("both ways", "both ways", "outbound", "inbound"))
+        self.cluster.note(f"{leader.name} is cut off with {near}, {direction}")
+        blocked = self.cluster.network.blocked_links
+        if direction != "inbound":
+            blocked |= {(a, b) for a in inside for b in outside}
+        if direction != "outbound":
+            blocked |= {(b, a) for a in inside for b in outside}
+
+    def stall_disks(self, is_full: bool) -> None:
+        """Have the disks of a majority stall, or refuse all writes."""
+        machines = self.cluster.running_machines()
+        seconds = self.random.choice(STALL_DURATIONS_S)
+        affected = self.random.sample(machines, len(machines) // 2 + 1)
+        self.cluster.note(
+            f"{[each.name for each in affected]}: disks {'full' if is_full else 'stall'}, {seconds} s"
+        )
+        for machine in affected:
+            if is_full:
+                machine.disk.is_full = True
+                self.call_after(seconds, setattr, machine.disk, "is_full", False)
+            else:
+                machine.disk.stalled_until_us = self.simulation.loop.now_us + round(seconds * SECOND)
+
+    # ---- all machines
+
+    def lose_all_power(self, wiped: int) -> None:
+        """Cut the power of all machines at one moment; so many controllers lose their disks with it."""
+        machines = self.cluster.running_machines()
+        emptied = self.random.sample(machines, min(wiped, len(machines)))
+        for machine in machines:
+            self._cut_power(machine, machine in emptied)
+        for proxy in self.simulation.machines:
+            proxy.kill()
+            self.call_after(0.2 + self.random.random(), proxy.start)
+
+    def _cut_power(self, machine: "Machine", is_emptied: bool) -> None:
+        if is_emptied:
+            self.simulation.faults.mark_lost(machine, 1.0)
+        machine.kill(power=True, wipe=is_emptied)
+        self.call_after(0.2 + self.random.random(), self._start_again, machine)
+
+    def _start_again(self, machine: "Machine") -> None:
+        if not machine.is_removed and not machine.is_running:
+            machine.start()
--- /dev/null
+++ b/lapisgrade/lab/simulation/operations/schedules.py
@@ -0,0 +1,147 @@
+"""Fault schedules of keyed operations by name, each drawn in its timing by a seed."""
+
+from collections.abc import Callable
+from random import Random
+
+from lapisgrade.lab.simulation.log_limits import log_limits
+from lapisgrade.lab.simulation.operations.simulation import KeyedSimulation
+
+NEXT_RUN_TIMEOUT_S = 1.0
+WINDOW_KEYS_PER_SECOND = 3.0
+PAUSES_S = (0.02, 0.3, 1.2, 3.0)
+CLUSTER_SIZES = ((3, 1), (5, 1), (6, 2))  # controllers, and how many may be lost at once
+SHORT_LOG, SHORT_MESSAGE = 24, 300  # entries before a snapshot, and its pieces in bytes
+LONG_LOG, LONG_MESSAGE = 512, 65_536
+
+
+def start_simulation(seed: int, size: int = 3, tolerate: int = 1) -> KeyedSimulation:
+    """Start a simulation, and run it until keys are served."""
+    simulation = KeyedSimulation(seed, size, tolerate)
+    simulation.start()
+    return simulation
+
+
+def random_faults(seed: int) -> KeyedSimulation:
+    """Faults of all kinds, at proxies and controllers, some just after a request began to run."""
+    random = Random(seed)
+    size, tolerate = random.choice(CLUSTER_SIZES)
+    limits = random.choice(((SHORT_LOG, SHORT_MESSAGE), (LONG_LOG, LONG_MESSAGE)))
+    with log_limits(*limits):
+        simulation = start_simulation(seed, size, tolerate)
+        for _ in range(random.randrange(5, 9)):
+            if random.random() < 0.5:
+                simulation.run_until_next_run(NEXT_RUN_TIMEOUT_S)
+            if random.random() < 0.5:
+                simulation.keyed_faults.inject_at_proxy()
+            else:
+                fault = simulation.faults.choose()
+                fault(simulation.faults)
+            simulation.loop.run_for(random.choice(PAUSES_S))
+        simulation.finish()
+    return simulation
+
+
+def power_and_disks(seed: int) -> KeyedSimulation:
+    """All machines lose power just after a request began to run; of six disks, two are lost with it."""
+    limits = (SHORT_LOG, SHORT_MESSAGE) if seed % 2 else (LONG_LOG, LONG_MESSAGE)
+    with log_limits(*limits):
+        simulation = start_simulation(seed, 6, 2)
+        for _ in range(2):
+            simulation.loop.run_for(simulation.random.random())
+            simulation.run_until_next_run(NEXT_RUN_TIMEOUT_S)
+            simulation.keyed_faults.lose_all_power(wiped=simulation.random.randrange(3))
+            simulation.loop.run_for(8.0)
+        simulation.finish()
+    return simulation
+
+
+def leader_cut(seed: int) -> KeyedSimulation:
+    """The leader is cut off with some of the proxies, both ways or one way, for short or for long."""
+    simulation = start_simulation(seed, *CLUSTER_SIZES[seed % 2])
+    for _ in range(3):
+        simulation.loop.run_until(simulation.cluster.has_established_leader, 6.0)
+        simulation.keyed_faults.cut_leader()
+        simulation.loop.run_for(simulation.random.choice((0.3, 1.0, 2.5, 5.0)))
+        if simulation.random.random() < 0.3:
+            simulation.keyed_faults.inject_at_proxy()
+        simulation.cluster.heal()
+        simulation.loop.run_for(0.1 + 1.5 * simulation.random.random())
+    simulation.finish()
+    return simulation
+
+
+def owner_lost(seed: int) -> KeyedSimulation:
+    """The proxy that runs an operation is killed, stopped, frozen or cut off, again and again."""
+    simulation = start_simulation(seed)
+    for _ in range(8):
+        simulation.run_until_next_run(NEXT_RUN_TIMEOUT_S)
+        simulation.loop.run_for(0.3 * simulation.random.random())
+        simulation.keyed_faults.inject_at_proxy()
+        simulation.loop.run_for(simulation.random.choice((0.1, 0.5, 1.5)))
+    simulation.finish()
+    return simulation
+
+
+def rolling(seed: int) -> KeyedSimulation:
+    """All proxies are restarted one after another as SIGTERM does, while a voter is replaced."""
+    with log_limits(SHORT_LOG, SHORT_MESSAGE):
+        simulation = start_simulation(seed)
+        simulation.faults.replace(planned=bool(seed % 2))
+        for machine in simulation.machines:
+            simulation.run_until_next_run(NEXT_RUN_TIMEOUT_S)
+            simulation.keyed_faults.stop(machine)
+            simulation.loop.run_for(simulation.random.choice((0.5, 2.0)))
+        simulation.faults.restart()
+        simulation.loop.run_for(4.0)
+        simulation.finish()
+    return simulation
+
+
+def disks(seed: int) -> KeyedSimulation:
+    """Most disks stall or are full for a while, and machines are killed or lose power meanwhile."""
+    simulation = start_simulation(seed)
+    for _ in range(4):
+        simulation.keyed_faults.stall_disks(is_full=simulation.random.random() < 0.5)
+        simulation.loop.run_for(0.5 + simulation.random.random())
+        if simulation.random.random() < 0.5:
+            simulation.faults.crash(power=True)
+        else:
+            simulation.keyed_faults.inject_at_proxy()
+        simulation.loop.run_for(1.0 + 3 * simulation.random.random())
+    simulation.finish()
+    return simulation
+
+
+def window(seed: int) -> KeyedSimulation:
+    """Keys are repeated up to and beyond the end of their window, while leaders change."""
+    with log_limits(SHORT_LOG, SHORT_MESSAGE):
+        simulation = start_simulation(seed)
+        simulation.clients.late_repeat_rate = 1.0
+        simulation.clients.keys_per_second = WINDOW_KEYS_PER_SECOND
+        for machine in (*simulation.machines, *simulation.cluster.running_machines()):
+            simulation.keyed_faults.change_pace(machine.process)
+        ends_us = simulation.loop.now_us + round(1.4 * simulation.operations.window_us)
+        while simulation.loop.now_us < ends_us:
+            fault = simulation.random.choice(
+                (
+                    simulation.faults.crash,
+                    simulation.faults.partition,
+                    simulation.keyed_faults.inject_at_proxy,
+                )
+            )
+            fault()
+            simulation.loop.run_for(2.0 + 4 * simulation.random.random())
+        simulation.lasts_beyond_retention = True
+        simulation.finish()
+    return simulation
+
+
+SCHEDULES: dict[str, Callable[[int], KeyedSimulation]] = {
+    "drawn": random_faults,
+    "power-and-disks": power_and_disks,
+    "leader-cut": leader_cut,
+    "owner-lost": owner_lost,
+    "rolling": rolling,
+    "disks": disks,
+    "window": window,
+}
--- a/lapisgrade/lab/simulation/proxies.py
+++ b/lapisgrade/lab/simulation/proxies.py
@@ -188,6 +188,10 @@
         """Whether its process is alive."""
         return self.process is not None and self.process.is_alive
 
+    def make_proxy(self, settings: Settings, process: Process) -> SimulatedProxy:
+        """Create the process's shell."""
+        return SimulatedProxy(self.simulation, settings, process)
+
     def start(self, skew_us: int = 0) -> None:
         """Start a process whose steady clock is ahead of the loop's by `skew_us`."""
         if self.is_running:
@@ -199,7 +203,7 @@
         settings = process_settings(self.name, self.ip, cluster.seeds, bootstrap=False, is_controller=False)
         token = CURRENT.set(process)
         try:
-            self.proxy = SimulatedProxy(self.simulation, settings, process)
+            self.proxy = self.make_proxy(settings, process)
             cluster.loop.create_task(self.proxy.work())
         finally:
             CURRENT.reset(token)
@@ -232,4 +236,4 @@
     def now_us(self) -> int:
         """Return the time in the process whose callback runs."""
         process = CURRENT.get()
-        return self.loop.now_us + (process.skew_us if process is not None else 0)
+        return process.clock_us(self.loop.now_us) if process is not None else self.loop.now_us
--- a/lapisgrade/lab/simulation/virtual_loop.py
+++ b/lapisgrade/lab/simulation/virtual_loop.py
@@ -24,6 +24,18 @@
         self.frozen_until_us = 0
         self.skew_us = 0  # its steady clock ahead of the loop's
         self.tasks: list[asyncio.Task] = []
+        self._pace = 1.0  # of its steady clock against the loop's
+        self._pace_since_us = 0
+
+    def set_pace(self, pace: float, now_us: int) -> None:
+        """Have the steady clock run at that pace from now on; it makes no step."""
+        self.skew_us = self.clock_us(now_us) - now_us
+        self._pace, self._pace_since_us = pace, now_us
+
+    def clock_us(self, now_us: int) -> int:
+        """Return the process's steady time when the loop's is `now_us`."""
+        gained_us = round((self._pace - 1.0) * (now_us - self._pace_since_us))
+        return now_us + self.skew_us + gained_us
 
 
 CURRENT: ContextVar[Process | None] = ContextVar("process", default=None)
