--- a/lapisgrade/cli/lab_faults.py
+++ b/lapisgrade/cli/lab_faults.py
@@ -8,14 +8,14 @@
 
 from lapisgrade.cli.options import parse_names
 
-EXPLORATIONS = ("control", "data-plane", "activation", "log", "rejoin", "quota")
+EXPLORATIONS = ("control", "data-plane", "activation", "log", "rejoin", "quota", "operations")
 
 
 @click.command(
     help="Explore WHAT in simulated time: the controllers under troubles of all kinds (control), the "
     "proxies beside them (data-plane), how versions come into force (activation), the replicated log alone "
-    "(log), drafts that are merged (rejoin), or a tenant's count among limiters (quota). A seed that goes "
-    "wrong is told with what led to it, exit 1."
+    "(log), drafts that are merged (rejoin), a tenant's count among limiters (quota), or requests that bear "
+    "an operation key (operations). A seed that goes wrong is told with what led to it, exit 1."
 )
 @click.argument("what", type=click.Choice(EXPLORATIONS), default="activation")
 @click.option("--seeds", type=click.IntRange(1, 1_000_000), default=100, show_default=True)
@@ -23,10 +23,10 @@
 @click.option("--defect", default="", help="a known defect to switch on; it should be found")
 def explore(what: str, seeds: int, first: int, defect: str) -> None:
     """Run an exploration of random faults; exit 1 with the first seed that breaks an invariant."""
-    from lapisgrade.lab.explore import activation, control, data_plane, log, quota, rejoin
+    from lapisgrade.lab.explore import activation, control, data_plane, log, operations, quota, rejoin
 
     logging.disable(logging.WARNING)
-    modules = (control, data_plane, activation, log, rejoin, quota)
+    modules = (control, data_plane, activation, log, rejoin, quota, operations)
     module = dict(zip(EXPLORATIONS, modules, strict=True))[what]
     if defect and defect not in module.DEFECTS:
         raise click.BadParameter(f"no such defect: {defect}; known: {', '.join(module.DEFECTS)}")
--- a/lapisgrade/lab/simulation/network.py
+++ b/lapisgrade/lab/simulation/network.py
@@ -20,6 +20,7 @@
 DUPLICATE_RATE = 0.01
 RETRANSMIT_RATE = 0.5  # of the messages on a blocked link that arrive when it is unblocked soon
 MAX_RETRANSMIT_US = 1_500_000  # that a connection transmits again
+MAX_LATE_COPY_US = 30_000_000  # that another copy of a message may come after it
 
 Address = tuple[str, int]
 OnCall = Callable[[Any], Awaitable[Any]]
@@ -34,6 +35,7 @@
         bytes_per_second: the bandwidth out of a host, where it is limited.
         extra_delay_us: the delay from a host to another beyond the usual.
         listening: the endpoints by address.
+        late_copy_rate: messages of which another copy arrives long after.
     """
 
     def __init__(self, loop: VirtualLoop, union: Any) -> None:
@@ -42,6 +44,7 @@
         self.blocked_links: set[tuple[str, str]] = set()
         self.bytes_per_second: dict[str, float] = {}
         self.extra_delay_us: dict[tuple[str, str], int] = {}
+        self.late_copy_rate = 0.0
         self.bytes_sent = 0
         self._link_free_us: dict[str, int] = {}  # when a host's slow link is free
         self._encoder = msgspec.msgpack.Encoder()
@@ -67,6 +70,8 @@
             transfer_us = self._transfer_us(source, len(data))
             delay_us = transfer_us + self.extra_delay_us.get((source, to), 0)
             self.loop.schedule(delay_us, None, arrive)
+        if self.late_copy_rate and self.random.random() < self.late_copy_rate:
+            self.loop.schedule(self.random.randrange(MAX_LATE_COPY_US), None, arrive)
 
     def _transfer_us(self, source: str, size: int) -> int:
         delay = self.random.randrange(MIN_DELAY_US, MAX_DELAY_US)
--- a/lapisgrade/lab/simulation/operations/clients.py
+++ b/lapisgrade/lab/simulation/operations/clients.py
@@ -22,6 +22,7 @@
 AT_ONCE_RATE = 0.1  # of the operations whose first two tries are sent together
 LEAVE_RATE = 0.08  # of the tries whose client leaves before the answer
 MAX_STAY_S = 0.3  # until it leaves
+OTHER_BODY_RATE = 0.05  # of the tries that bear another body than the others of their key
 SHARED_KEY_RATE = 0.15  # of the keys that both tenants use
 LATE_REPEAT_PARTS = (0.5, 0.9, 0.97, 0.998, 1.02, 1.3)  # of the window, since the first try was sent
 
@@ -37,7 +38,7 @@
     Attributes:
         keys_per_second: How many new operations begin.
         late_repeat_rate: The part of them that is repeated near the end of the window.
-        is_open: Whether new operations begin at all.
+        is_open: Whether new operations begin, and old ones are repeated late.
     """
 
     def __init__(self, simulation: "KeyedSimulation", random: Random) -> None:
@@ -74,6 +75,11 @@
         self._key_count += 1
         return f"k-{self._key_count}"
 
+    async def crowd(self, operation: OperationId, size: int) -> None:
+        """Send so many tries of one operation at once."""
+        tries = [self.send(operation, self.random.choice(self.simulation.machines)) for _ in range(size)]
+        await asyncio.gather(*tries)
+
     async def _operate(self, operation: OperationId) -> None:
         """Send an operation's tries until one has succeeded, and at times again."""
         first_sent_us = self.loop.now_us
@@ -96,7 +102,8 @@
         part = self.random.choice(LATE_REPEAT_PARTS)
         due_us = first_sent_us + round(part * self.simulation.operations.window_us)
         await asyncio.sleep(max(0, due_us - self.loop.now_us) / SECOND)
-        await self.send(operation, self.random.choice(self.simulation.machines))
+        if self.is_open:
+            await self.send(operation, self.random.choice(self.simulation.machines))
 
     def is_alive(self, try_id: str) -> bool:
         """Return whether the process that took a try still runs."""
@@ -108,7 +115,9 @@
     ) -> Answer | None:
         """Send one try, and wait for its answer; None for none, or for a client that left."""
         self._try_count += 1
-        sent = Try(operation, f"try-{self._try_count}", self.loop.now_us, machine.name)
+        is_changed = self.random.random() < OTHER_BODY_RATE
+        body = f"order {operation[1]}{' in blue' if is_changed else ''}".encode()
+        sent = Try(operation, f"try-{self._try_count}", self.loop.now_us, body)
         history = self.simulation.operations
         history.on_sent(sent)
         exchange = Exchange(self.loop, machine, sent, api_key_of(operation[0]))
--- a/lapisgrade/lab/simulation/operations/exchange.py
+++ b/lapisgrade/lab/simulation/operations/exchange.py
@@ -121,10 +121,9 @@
 def encode_request(sent: Try, api_key: str) -> bytes:
     """Return a try as it stands on the wire."""
     _, key = sent.operation
-    body = f"order {key}".encode()
     head = (
         f"POST /keyed/1 HTTP/1.1\r\nHost: {HOST}\r\nTry-Id: {sent.try_id}\r\nOp-Key: {key}\r\n"
         f"Deadline-Ms: {REQUEST_DEADLINE_MS}\r\nAuthorization: Bearer {api_key}\r\n"
-        f"Content-Length: {len(body)}\r\n\r\n"
+        f"Content-Length: {len(sent.body)}\r\n\r\n"
     )
-    return head.encode() + body
+    return head.encode() + sent.body
--- a/lapisgrade/lab/simulation/operations/faults.py
+++ b/lapisgrade/lab/simulation/operations/faults.py
@@ -16,6 +16,7 @@
 STOP_RESTART_DELAY_S = 6.5  # after SIGTERM; its grace time is over by then
 MAX_SKEW_US = 500 * SECOND
 MAX_PACE_DEVIATION = 0.01  # of a steady clock; a hundred times that of real ones
+LATE_S = (0.05, 1.2)
 STALL_DURATIONS_S = (0.3, 1.5, 4.0)
 
 
@@ -102,6 +103,18 @@
         if direction != "outbound":
             blocked |= {(b, a) for a in inside for b in outside}
 
+    def delay_leader(self) -> None:
+        """Have what the leader sends to some machines arrive late."""
+        leader = self.cluster.leader()
+        if leader is None:
+            return
+        delays = self.cluster.network.extra_delay_us
+        everyone = [*self.simulation.machines, *self.cluster.machines.values()]
+        for machine in self.random.sample(everyone, self.random.randrange(1, len(everyone))):
+            delays[leader.ip, machine.ip] = round(self.random.uniform(*LATE_S) * SECOND)
+        self.cluster.note(f"{leader.name}: late to {len(delays)} machines")
+        self.call_after(self.random.choice(CUT_DURATIONS_S), delays.clear)
+
     def stall_disks(self, is_full: bool) -> None:
         """Have the disks of a majority stall, or refuse all writes."""
         machines = self.cluster.running_machines()
--- a/lapisgrade/lab/simulation/operations/history.py
+++ b/lapisgrade/lab/simulation/operations/history.py
@@ -27,6 +27,7 @@
         operation: Whose key it bore.
         try_id: Of the client's try that it came from.
         started_us: When.
+        request_body: What it was asked.
         status: That the server answers, whether or not anyone receives it.
         body: That the server answers.
         seal: Of the answer; no other run has it.
@@ -35,6 +36,7 @@
     operation: OperationId
     try_id: str
     started_us: int
+    request_body: bytes
     status: int
     body: bytes
     seal: str
@@ -65,14 +67,14 @@
         operation: Whose key it bears.
         try_id: Its own id.
         sent_us: When.
-        proxy: Where it was sent.
+        body: What it asks; the tries of one operation may differ.
         answer: None while there is none.
     """
 
     operation: OperationId
     try_id: str
     sent_us: int
-    proxy: str
+    body: bytes
     answer: Answer | None = None
 
 
@@ -101,7 +103,7 @@
     def on_run(self, run: Run) -> None:
         """Note a run, and check it against the runs and answers before it."""
         sent = self.tries.get(run.try_id)
-        if sent is None or sent.operation != run.operation:
+        if sent is None or (sent.operation, sent.body) != (run.operation, run.request_body):
             return self.report(f"UNASKED: a run of {run.operation} as try {run.try_id}")
         for other in self.runs.get(run.operation, []):
             apart_us = abs(sent.sent_us - self.tries[other.try_id].sent_us)
--- a/lapisgrade/lab/simulation/operations/proxy.py
+++ b/lapisgrade/lab/simulation/operations/proxy.py
@@ -18,6 +18,10 @@
 
     simulation: "KeyedSimulation"
 
+    def __init__(self, simulation: "KeyedSimulation", settings: Settings, process: Process) -> None:
+        super().__init__(simulation, settings, process)
+        self.router.random.seed(simulation.loop.random.getrandbits(64))
+
     def make_pool(self, max_connections: int) -> RecordedPool:
         """The recording servers."""
         return RecordedPool(self.simulation.recording_servers, self)
--- a/lapisgrade/lab/simulation/operations/schedules.py
+++ b/lapisgrade/lab/simulation/operations/schedules.py
@@ -4,9 +4,12 @@
 from random import Random
 
 from lapisgrade.lab.simulation.log_limits import log_limits
+from lapisgrade.lab.simulation.operations.clients import TENANTS
 from lapisgrade.lab.simulation.operations.simulation import KeyedSimulation
 
 NEXT_RUN_TIMEOUT_S = 1.0
+LATE_RATHER_THAN_CUT_RATE = 0.25
+CROWD_SIZE = 400  # tries of one key at once
 WINDOW_KEYS_PER_SECOND = 3.0
 PAUSES_S = (0.02, 0.3, 1.2, 3.0)
 CLUSTER_SIZES = ((3, 1), (5, 1), (6, 2))  # controllers, and how many may be lost at once
@@ -56,11 +59,14 @@
 
 
 def leader_cut(seed: int) -> KeyedSimulation:
-    """The leader is cut off with some of the proxies, both ways or one way, for short or for long."""
+    """The leader is cut off with some of the proxies, both ways or one way, or what it sends is late."""
     simulation = start_simulation(seed, *CLUSTER_SIZES[seed % 2])
     for _ in range(3):
         simulation.loop.run_until(simulation.cluster.has_established_leader, 6.0)
-        simulation.keyed_faults.cut_leader()
+        if simulation.random.random() < LATE_RATHER_THAN_CUT_RATE:
+            simulation.keyed_faults.delay_leader()
+        else:
+            simulation.keyed_faults.cut_leader()
         simulation.loop.run_for(simulation.random.choice((0.3, 1.0, 2.5, 5.0)))
         if simulation.random.random() < 0.3:
             simulation.keyed_faults.inject_at_proxy()
@@ -136,6 +142,23 @@
     return simulation
 
 
+def crowd(seed: int) -> KeyedSimulation:
+    """Hundreds of tries of one key come at once, and the proxy that runs it may be lost meanwhile."""
+    simulation = start_simulation(seed)
+    for _ in range(3):
+        operation = (simulation.random.choice(TENANTS), simulation.clients.new_key())
+        simulation.clients.start_task(simulation.clients.crowd(operation, CROWD_SIZE))
+        simulation.run_until_next_run(NEXT_RUN_TIMEOUT_S)
+        simulation.loop.run_for(0.1 * simulation.random.random())
+        if simulation.random.random() < 0.5:
+            simulation.keyed_faults.inject_at_proxy()
+        simulation.loop.run_for(2.5)
+        simulation.clients.start_task(simulation.clients.crowd(operation, CROWD_SIZE // 10))
+        simulation.loop.run_for(1.0)
+    simulation.finish()
+    return simulation
+
+
 SCHEDULES: dict[str, Callable[[int], KeyedSimulation]] = {
     "drawn": random_faults,
     "power-and-disks": power_and_disks,
@@ -144,4 +167,5 @@
     "rolling": rolling,
     "disks": disks,
     "window": window,
+    "crowd": crowd,
 }
--- a/lapisgrade/lab/simulation/operations/servers.py
+++ b/lapisgrade/lab/simulation/operations/servers.py
@@ -11,7 +11,7 @@
 
 from lapisgrade.gateway.http_server import encode_response
 from lapisgrade.gateway.routing.upstream_protocol import UpstreamProtocol
-from lapisgrade.lab.simulation.operations.history import OperationHistory, Run
+from lapisgrade.lab.simulation.operations.history import OK, OperationHistory, Run
 from lapisgrade.lab.simulation.virtual_loop import SECOND, Process, VirtualLoop
 from lapisgrade.net.close_reason import CloseReason
 from lapisgrade.net.events import AttemptClosed
@@ -31,6 +31,7 @@
 
     ANSWER = auto()
     FAIL = auto()  # runs it, and answers 500
+    ANSWER_WITHOUT_SEAL = auto()  # runs it, and its answer is none of the protocol
     TURN_AWAY = auto()  # 503 with Not-Run
     MISDIRECTED = auto()  # 421
     REFUSE_CONNECTION = auto()
@@ -42,6 +43,7 @@
 BEHAVIOUR_WEIGHTS = {
     Behaviour.ANSWER: 70,
     Behaviour.FAIL: 4,
+    Behaviour.ANSWER_WITHOUT_SEAL: 2,
     Behaviour.TURN_AWAY: 7,
     Behaviour.MISDIRECTED: 2,
     Behaviour.REFUSE_CONNECTION: 4,
@@ -76,15 +78,18 @@
             return Behaviour.ANSWER
         return self.random.choices(list(BEHAVIOUR_WEIGHTS), list(BEHAVIOUR_WEIGHTS.values()))[0]
 
-    def run(self, request: Message, status: int) -> bytes:
+    def run(self, request: Message, behaviour: Behaviour) -> bytes:
         """Begin to work on a request; return the response."""
+        status = INTERNAL_SERVER_ERROR if behaviour is Behaviour.FAIL else OK
         self.run_count += 1
         headers = request.headers()
         operation = headers[b"tenant"].decode(), headers[b"op-key"].decode()
         try_id, seal = headers[b"try-id"].decode(), f"seal-{self.run_count}"
         body = f"run {self.run_count} of {operation}".encode().ljust(self.random.randrange(MAX_BODY_BYTES))
-        self.history.on_run(Run(operation, try_id, self.loop.now_us, status, body, seal))
-        seal_line = f"Server-Seal: {seal}\r\n" if status < INTERNAL_SERVER_ERROR else ""
+        asked = b"".join(bytes(each) for each in request.body)
+        self.history.on_run(Run(operation, try_id, self.loop.now_us, asked, status, body, seal))
+        has_seal = status == OK and behaviour is not Behaviour.ANSWER_WITHOUT_SEAL
+        seal_line = f"Server-Seal: {seal}\r\n" if has_seal else ""
         return encode_response(status, body, f"Try-Id: {try_id}\r\n{seal_line}".encode())
 
 
@@ -140,8 +145,7 @@
             try_id = request.headers()[b"try-id"]
             head = b"Try-Id: %b\r\nNot-Run: 1\r\n" % try_id
             return self._answer_after(0, attempt, encode_response(TURNED_AWAY[behaviour], b"", head))
-        status = INTERNAL_SERVER_ERROR if behaviour is Behaviour.FAIL else 200
-        response = self._servers.run(request, status)
+        response = self._servers.run(request, behaviour)
         work_us = self._servers.random.randrange(MIN_WORK_US, MAX_WORK_US)
         if behaviour is Behaviour.LOSE_ANSWER:
             return self._close_after(work_us, attempt, CloseReason.CONNECTION_LOST)
--- a/lapisgrade/lab/simulation/operations/simulation.py
+++ b/lapisgrade/lab/simulation/operations/simulation.py
@@ -36,6 +36,7 @@
 NEW_KEY_TRIES = 3  # at rest, until a new key is answered by a success
 ASK_TIMEOUT_S = 3.0  # of one of them
 KNOWN_ANSWERS_ASKED = 6  # at rest
+LATE_COPY_RATE = 0.005  # of all messages between proxies and controllers
 SILENCE_S = 3.0  # after which the last claims are applied everywhere
 RETENTION_S = 80.0  # after which no record is owed any more
 KNOWN_PART = 0.8  # of the window in which an answer must still be known at rest
@@ -52,7 +53,7 @@
         fields = msgspec.json.decode(body)
         rule = {
             "Name": "keyed",
-            "Mode": "mutate",
+            "Mode": "keyed",
             "Match": {"Pfx": "/keyed/"},
             "Action": {"Svc": "svc", "Timeout": "2s", "Tries": 2},
         }
@@ -68,6 +69,7 @@
         super().__init__(seed, size, tolerate, operators=0)
         self.clock = SimulatedClock()
         self.clock.loop = self.loop
+        self.cluster.network.late_copy_rate = LATE_COPY_RATE
         self.client_process = Process("clients")
         self.cluster.processes.append(self.client_process)
         self.operations = OperationHistory(KEY_WINDOW_US, self.cluster.invariants.report_violation)
