--- a/lapisgrade/lab/simulation/defects/operations.py
+++ b/lapisgrade/lab/simulation/defects/operations.py
@@ -146,9 +146,12 @@
         {"retention-too-short": Defect(operation_claims, "RETENTION_MARGIN_US", NO_MARGIN_US)},
         "window",
     ),
+    (
+        {"replaced-without-compare": Defect(OperationTable, "claim", _claim_without_compare)},
+        "crowd",
+    ),
     (
         {
-            "replaced-without-compare": Defect(OperationTable, "claim", _claim_without_compare),
             "tenants-share-keys": Defect(table, "record_id", _record_id_of_key),
             "sent-counts-as-not-run": Defect(KeyedRequest, "_outcome_of", _outcome_not_run_without_response),
             "unknown-counts-as-not-run": Defect(
--- a/lapisgrade/lab/simulation/operations/clients.py
+++ b/lapisgrade/lab/simulation/operations/clients.py
@@ -75,6 +75,16 @@
         self._key_count += 1
         return f"k-{self._key_count}"
 
+    def repeat_recent(self, count: int) -> None:
+        """Send so many of the operations that were tried last once more, each at another moment."""
+        recent = list(dict.fromkeys(each.operation for each in self.simulation.operations.tries.values()))
+        for operation in recent[-count:]:
+            self.start_task(self._repeat_soon(operation))
+
+    async def _repeat_soon(self, operation: OperationId) -> None:
+        await asyncio.sleep(2 * MAX_PAUSE_S * self.random.random())
+        await self.send(operation, self.random.choice(self.simulation.machines))
+
     async def crowd(self, operation: OperationId, size: int) -> None:
         """Send so many tries of one operation at once."""
         tries = [self.send(operation, self.random.choice(self.simulation.machines)) for _ in range(size)]
--- a/lapisgrade/lab/simulation/operations/faults.py
+++ b/lapisgrade/lab/simulation/operations/faults.py
@@ -16,6 +16,8 @@
 STOP_RESTART_DELAY_S = 6.5  # after SIGTERM; its grace time is over by then
 MAX_SKEW_US = 500 * SECOND
 MAX_PACE_DEVIATION = 0.01  # of a steady clock; a hundred times that of real ones
+LAGGING_DISK_SLOWDOWN = 50.0
+HOLDER_DELAY_S = 1.5
 LATE_S = (0.05, 1.2)
 STALL_DURATIONS_S = (0.3, 1.5, 4.0)
 
@@ -132,21 +134,39 @@
 
     # ---- all machines
 
+    def slow_some_disks(self) -> None:
+        """Have the disks of a minority lag behind, so that what is committed is on the others' alone."""
+        leader = self.cluster.leader()
+        others = [each for each in self.cluster.running_machines() if each is not leader]
+        for machine in self.random.sample(others, len(others) // 2):
+            machine.disk.slowdown = LAGGING_DISK_SLOWDOWN
+
     def lose_all_power(self, wiped: int) -> None:
-        """Cut the power of all machines at one moment; so many controllers lose their disks with it."""
+        """Cut the power of all machines at one moment; so many controllers lose their disks with it.
+
+        The emptied disks are among those that held the newest entry; the others that did come back late.
+        """
         machines = self.cluster.running_machines()
-        emptied = self.random.sample(machines, min(wiped, len(machines)))
+        holders = [each for each in machines if self._has_newest_entry(each)]
+        emptied = self.random.sample(holders, min(wiped, len(holders)))
         for machine in machines:
-            self._cut_power(machine, machine in emptied)
+            is_late = machine in holders and machine not in emptied
+            self._cut_power(machine, machine in emptied, HOLDER_DELAY_S if is_late else 0.0)
         for proxy in self.simulation.machines:
             proxy.kill()
             self.call_after(0.2 + self.random.random(), proxy.start)
 
-    def _cut_power(self, machine: "Machine", is_emptied: bool) -> None:
+    def _has_newest_entry(self, machine: "Machine") -> bool:
+        entries = self.cluster.invariants.entries
+        newest = max(entries, default=0)
+        return newest == 0 or machine.disk.has_synced(newest, entries[newest].term)
+
+    def _cut_power(self, machine: "Machine", is_emptied: bool, delay_s: float) -> None:
         if is_emptied:
             self.simulation.faults.mark_lost(machine, 1.0)
+        machine.disk.slowdown = 1.0
         machine.kill(power=True, wipe=is_emptied)
-        self.call_after(0.2 + self.random.random(), self._start_again, machine)
+        self.call_after(0.2 + 0.3 * self.random.random() + delay_s, self._start_again, machine)
 
     def _start_again(self, machine: "Machine") -> None:
         if not machine.is_removed and not machine.is_running:
--- a/lapisgrade/lab/simulation/operations/schedules.py
+++ b/lapisgrade/lab/simulation/operations/schedules.py
@@ -9,11 +9,13 @@
 
 NEXT_RUN_TIMEOUT_S = 1.0
 LATE_RATHER_THAN_CUT_RATE = 0.25
+OVERLOAD_S = 0.4  # at the most
+REPEATED_KEYS = 40  # that are sent again after a fault
 CROWD_SIZE = 400  # tries of one key at once
 WINDOW_KEYS_PER_SECOND = 3.0
 PAUSES_S = (0.02, 0.3, 1.2, 3.0)
 CLUSTER_SIZES = ((3, 1), (5, 1), (6, 2))  # controllers, and how many may be lost at once
-SHORT_LOG, SHORT_MESSAGE = 24, 300  # entries before a snapshot, and its pieces in bytes
+SHORT_LOG, SHORT_MESSAGE = 8, 2_000  # entries before a snapshot, and its pieces in bytes
 LONG_LOG, LONG_MESSAGE = 512, 65_536
 
 
@@ -50,10 +52,13 @@
     with log_limits(*limits):
         simulation = start_simulation(seed, 6, 2)
         for _ in range(2):
+            simulation.keyed_faults.slow_some_disks()
             simulation.loop.run_for(simulation.random.random())
             simulation.run_until_next_run(NEXT_RUN_TIMEOUT_S)
             simulation.keyed_faults.lose_all_power(wiped=simulation.random.randrange(3))
-            simulation.loop.run_for(8.0)
+            simulation.loop.run_for(4.0)
+            simulation.clients.repeat_recent(REPEATED_KEYS)
+            simulation.loop.run_for(3.0)
         simulation.finish()
     return simulation
 
@@ -71,6 +76,7 @@
         if simulation.random.random() < 0.3:
             simulation.keyed_faults.inject_at_proxy()
         simulation.cluster.heal()
+        simulation.clients.repeat_recent(REPEATED_KEYS)
         simulation.loop.run_for(0.1 + 1.5 * simulation.random.random())
     simulation.finish()
     return simulation
@@ -97,6 +103,7 @@
             simulation.run_until_next_run(NEXT_RUN_TIMEOUT_S)
             simulation.keyed_faults.stop(machine)
             simulation.loop.run_for(simulation.random.choice((0.5, 2.0)))
+        simulation.clients.repeat_recent(REPEATED_KEYS)
         simulation.faults.restart()
         simulation.loop.run_for(4.0)
         simulation.finish()
@@ -143,13 +150,14 @@
 
 
 def crowd(seed: int) -> KeyedSimulation:
-    """Hundreds of tries of one key come at once, and the proxy that runs it may be lost meanwhile."""
+    """Hundreds of tries of one key come at once, as servers turn all away or the key's proxy is lost."""
     simulation = start_simulation(seed)
     for _ in range(3):
         operation = (simulation.random.choice(TENANTS), simulation.clients.new_key())
+        simulation.recording_servers.is_overloaded = simulation.random.random() < 0.5
         simulation.clients.start_task(simulation.clients.crowd(operation, CROWD_SIZE))
-        simulation.run_until_next_run(NEXT_RUN_TIMEOUT_S)
-        simulation.loop.run_for(0.1 * simulation.random.random())
+        simulation.loop.run_for(OVERLOAD_S * simulation.random.random())
+        simulation.recording_servers.is_overloaded = False
         if simulation.random.random() < 0.5:
             simulation.keyed_faults.inject_at_proxy()
         simulation.loop.run_for(2.5)
--- a/lapisgrade/lab/simulation/operations/servers.py
+++ b/lapisgrade/lab/simulation/operations/servers.py
@@ -71,9 +71,12 @@
         self.history = history
         self.run_count = 0
         self.is_calm = False  # all requests are answered well
+        self.is_overloaded = False  # all are turned away
 
     def draw_behaviour(self) -> Behaviour:
         """Return what happens to the next request."""
+        if self.is_overloaded:
+            return Behaviour.TURN_AWAY
         if self.is_calm:
             return Behaviour.ANSWER
         return self.random.choices(list(BEHAVIOUR_WEIGHTS), list(BEHAVIOUR_WEIGHTS.values()))[0]
