--- a/lapisgrade/gateway/consensus/node.py
+++ b/lapisgrade/gateway/consensus/node.py
@@ -211,8 +211,8 @@
     def propose(self, data: bytes, announces_commit: bool = True) -> tuple[int, int] | None:
         """Put a command into the log; returns its index and term.
 
-        Returns None where this isn't the leader, or is one that shuts down. Followers are told at once that it
-        is committed if it `announces_commit`, else with the next message.
+        Returns None where this isn't the leader, or is one that shuts down. Followers are told at once that
+        it is committed if it `announces_commit`, else with the next message.
         """
         if self.state.is_stopping:
             return None
