--- a/lapisgrade/gateway/cli/operator_client.py
+++ b/lapisgrade/gateway/cli/operator_client.py
@@ -88,13 +88,16 @@
             await asyncio.sleep(POLL_INTERVAL_S)
 
     async def print_status(self) -> ExitCode:
-        """Print which version is in force, which proxies lag, and the servers of each service."""
+        """Print which version is in force, which proxies lag, the servers of each service, and held keys."""
         _, status = await self.fetch_newest()
         self._print_line(f"newest version {status['Newest']}, in force {status['InForce']}")
         for line in lagging_proxies(status, status["Newest"]):
             self._print_line(f"  {line}")
         for service, servers in sorted(status["Servers"].items()):
             self._print_line(f"  service {service}: {servers['Up']} servers up, {servers['Slots']} slots")
+        operations = status.get("Operations", 0)
+        if operations:
+            self._print_line(f"  {operations} operation keys are held")
         return ExitCode.DONE
 
 
