--- a/lapisgrade/gateway/proxy/operation_transport.py
+++ b/lapisgrade/gateway/proxy/operation_transport.py
@@ -18,7 +18,8 @@
 from lapisgrade.interface import Call
 from lapisgrade.net.events import CallFinished
 
-FETCH_MARGIN_S = 0.03  # that a reply on what came of an attempt may take, once its proxy has sent it
+MIN_REPLY_S = 0.06  # that the way to an attempt's proxy and back is given, as a part of the time that is left
+REPLY_RATIO = 0.15  # of the time that is left, the same: machines may be busy
 FETCH_ATTEMPTS = 3  # of a call for an outcome whose connection fails
 FETCH_RETRY_DELAY_S = 0.1  # before its next attempt
 MAX_CALLS = 256  # of this proxy's requests at once; within `rpc.MAX_OPEN_CALLS` of one connection
@@ -44,7 +45,7 @@
         self._attempts = attempts
         self._tasks: set[asyncio.Task[None]] = set()
         self._waiting: dict[str, list[asyncio.Future[None]]] = {}  # for the end of an attempt of this proxy
-        self._waiting_replies = 0
+        self.waiting_replies = 0  # other proxies' calls that wait for the end of an attempt
         attempts.outcomes.on_finished = self._on_attempt_finished
 
     # ---- this proxy's own calls
@@ -97,8 +98,8 @@
             left_s = self._seconds_until(call.until_us)
             if left_s <= 0:
                 break
-            wait_us = max(0, int((left_s - 2 * FETCH_MARGIN_S) * SECOND))
-            request = rpc_messages.OutcomeRequest(call.attempt, wait_us)
+            wait_s = max(0.0, left_s - max(MIN_REPLY_S, REPLY_RATIO * left_s))
+            request = rpc_messages.OutcomeRequest(call.attempt, int(wait_s * SECOND))
             result = await self._rpc.call(parse_address(call.owner), request, left_s)
             reply = result.value_or(None)
             if isinstance(reply, rpc_messages.OutcomeReply):
@@ -110,13 +111,13 @@
 
     async def answer_outcome(self, request: rpc_messages.OutcomeRequest) -> rpc_messages.OutcomeReply:
         """Say what came of an attempt of this proxy, once it has ended or the caller waits no longer."""
-        if self._waiting_replies >= MAX_WAITING_REPLIES:
+        if self.waiting_replies >= MAX_WAITING_REPLIES:
             return rpc_messages.OutcomeReply(self._attempts.outcomes.find(request.attempt))
-        self._waiting_replies += 1
+        self.waiting_replies += 1
         try:
             outcome = await self._wait_for_outcome(request.attempt, request.wait_us / SECOND)
         finally:
-            self._waiting_replies -= 1
+            self.waiting_replies -= 1
         return rpc_messages.OutcomeReply(outcome)
 
     async def _wait_for_outcome(self, attempt: str, wait_s: float) -> Outcome:
--- a/lapisgrade/gateway/proxy/process.py
+++ b/lapisgrade/gateway/proxy/process.py
@@ -204,8 +204,9 @@
             front.close_idle()
 
     def _has_requests(self) -> bool:
-        """Whether requests are in progress, also those whose clients have left (keyed ones)."""
-        return bool(self.host.unanswered or self.router.operation_attempts.outcomes.running_count)
+        """Whether requests are in progress: also keyed ones whose clients have left, and their repeats."""
+        has_runs = self.router.operation_attempts.outcomes.running_count > 0
+        return bool(self.host.unanswered or has_runs or self.operation_transport.waiting_replies)
 
     def _close(self) -> None:
         self.client_front.close()
--- a/tests/gateway/proxy/test_keyed_operations.py
+++ b/tests/gateway/proxy/test_keyed_operations.py
@@ -17,6 +17,9 @@
 KEY = "key-of-sfax"
 KEYED = copy.deepcopy(SAMPLE)
 KEYED["Ports"][0]["Policy"][1]["Mode"] = "keyed"
+KEYED["Ports"][0]["Policy"][1]["Action"]["Timeout"] = "6000ms"
+PATIENT = {"Deadline-Ms": "6000"}
+HASTY = {"Deadline-Ms": "2000"}
 
 
 @contextlib.asynccontextmanager
@@ -53,11 +56,11 @@
 
 
 async def test_repeats_meanwhile_wait_for_the_first_or_are_told_that_it_runs() -> None:
-    async with keyed_cluster(work=1.2) as site:
-        first = asyncio.create_task(claim(site, "m1", "k"))
+    async with keyed_cluster(work=4.0) as site:
+        first = asyncio.create_task(claim(site, "m1", "k", **PATIENT))
         await site.until(lambda: site.servers["i-1"].running)
-        hasty = [claim(site, machine, "k", **{"Deadline-Ms": "300"}) for machine in site.names]
-        patient = [claim(site, machine, "k") for machine in site.names * 2]
+        hasty = [claim(site, machine, "k", **HASTY) for machine in site.names]
+        patient = [claim(site, machine, "k", **PATIENT) for machine in site.names * 2]
         found = [status(each) for each in await asyncio.gather(*hasty, first, *patient)]
         assert (found, runs(site)) == ([409] * 3 + [200] * 7, 1)
 
@@ -82,7 +85,10 @@
         first.cancel()
         await asyncio.gather(first, return_exceptions=True)
         await site.until(lambda: not proxy.host.unanswered)
-        with mock.patch.object(process, "LAST_CONNECTIONS_S", 0.0):
+        with (
+            mock.patch.object(process, "LAST_CONNECTIONS_S", 0.0),
+            mock.patch.object(process, "SHUTDOWN_POLL_S", 0.0),
+        ):
             proxy.end()
             repeat = await claim(site, "m2", "k")
         assert (status(repeat), runs(site), server.dropped) == (200, 1, {})
