--- a/lapisgrade/gateway/proxy/operation_transport.py
+++ b/lapisgrade/gateway/proxy/operation_transport.py
@@ -1,7 +1,8 @@
 """Carries out the calls of keyed requests: claims (`claim_client`), and outcomes between proxies."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
+from functools import partial
 from typing import Any
 
 from lapisgrade.engine import Task
@@ -26,6 +27,8 @@
 MAX_WAITING_REPLIES = 1024  # other proxies' calls that wait for the end of an attempt
 MAX_WAIT_S = 30.0  # that one of them may wait
 
+MakeCall = Callable[[], Coroutine[Any, Any, Any]]
+
 
 class OperationTransport:
     """`call` is called by the host's engine; `answer_outcome` answers other proxies."""
@@ -53,26 +56,25 @@
     def call(self, task: Task, call: Call) -> None:
         """Carry out a call of a keyed request, and tell the host its result."""
         if isinstance(call, ClaimKey):
-            self._start(task, self._claims.claim(call.claim, call.until_us), None)
+            self._start(task, partial(self._claims.claim, call.claim, call.until_us), None)
         elif isinstance(call, FetchOutcome):
-            self._start(task, self._fetch_outcome(call), UNKNOWN)
+            self._start(task, partial(self._fetch_outcome, call), UNKNOWN)
         else:
             raise TypeError(f"{call!r} is no call of a keyed request")
 
-    def _start(self, task: Task, coroutine: Coroutine[Any, Any, Any], result_if_failed: Any) -> None:
+    def _start(self, task: Task, make_call: MakeCall, result_if_failed: Any) -> None:
         """Run a call beside the others; too many at once are not begun (guards memory and the leader)."""
         if len(self._tasks) >= MAX_CALLS:
-            coroutine.close()
             self._host.enqueue(CallFinished(task, result_if_failed))
             return
-        running = asyncio.get_running_loop().create_task(self._finish(task, coroutine, result_if_failed))
+        running = asyncio.get_running_loop().create_task(self._finish(task, make_call, result_if_failed))
         self._tasks.add(running)
         running.add_done_callback(self._tasks.discard)
 
-    async def _finish(self, task: Task, coroutine: Coroutine[Any, Any, Any], result_if_failed: Any) -> None:
+    async def _finish(self, task: Task, make_call: MakeCall, result_if_failed: Any) -> None:
         result = result_if_failed
         try:
-            result = await coroutine
+            result = await make_call()
         finally:
             self._host.enqueue(CallFinished(task, result))
 
