--- a/lapisgrade/gateway/proxy/operation_transport.py
+++ b/lapisgrade/gateway/proxy/operation_transport.py
@@ -1,7 +1,8 @@
 """Carries out the calls of keyed requests: claims (`claim_client`), and outcomes between proxies."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
+from functools import partial
 from typing import Any
 
 from lapisgrade.engine import Task
@@ -18,13 +19,16 @@
 from lapisgrade.interface import Call
 from lapisgrade.net.events import CallFinished
 
-FETCH_MARGIN_S = 0.03  # that a reply on what came of an attempt may take, once its proxy has sent it
+MIN_REPLY_S = 0.06  # that the way to an attempt's proxy and back is given, as a part of the time that is left
+REPLY_RATIO = 0.15  # of the time that is left, the same: machines may be busy
 FETCH_ATTEMPTS = 3  # of a call for an outcome whose connection fails
 FETCH_RETRY_DELAY_S = 0.1  # before its next attempt
 MAX_CALLS = 256  # of this proxy's requests at once; within `rpc.MAX_OPEN_CALLS` of one connection
 MAX_WAITING_REPLIES = 1024  # other proxies' calls that wait for the end of an attempt
 MAX_WAIT_S = 30.0  # that one of them may wait
 
+MakeCall = Callable[[], Coroutine[Any, Any, Any]]
+
 
 class OperationTransport:
     """`call` is called by the host's engine; `answer_outcome` answers other proxies."""
@@ -44,7 +48,7 @@
         self._attempts = attempts
         self._tasks: set[asyncio.Task[None]] = set()
         self._waiting: dict[str, list[asyncio.Future[None]]] = {}  # for the end of an attempt of this proxy
-        self._waiting_replies = 0
+        self.waiting_replies = 0  # other proxies' calls that wait for the end of an attempt
         attempts.outcomes.on_finished = self._on_attempt_finished
 
     # ---- this proxy's own calls
@@ -52,26 +56,25 @@
     def call(self, task: Task, call: Call) -> None:
         """Carry out a call of a keyed request, and tell the host its result."""
         if isinstance(call, ClaimKey):
-            self._start(task, self._claims.claim(call.claim, call.until_us), None)
+            self._start(task, partial(self._claims.claim, call.claim, call.until_us), None)
         elif isinstance(call, FetchOutcome):
-            self._start(task, self._fetch_outcome(call), UNKNOWN)
+            self._start(task, partial(self._fetch_outcome, call), UNKNOWN)
         else:
             raise TypeError(f"{call!r} is no call of a keyed request")
 
-    def _start(self, task: Task, coroutine: Coroutine[Any, Any, Any], result_if_failed: Any) -> None:
+    def _start(self, task: Task, make_call: MakeCall, result_if_failed: Any) -> None:
         """Run a call beside the others; too many at once are not begun (guards memory and the leader)."""
         if len(self._tasks) >= MAX_CALLS:
-            coroutine.close()
             self._host.enqueue(CallFinished(task, result_if_failed))
             return
-        running = asyncio.get_running_loop().create_task(self._finish(task, coroutine, result_if_failed))
+        running = asyncio.get_running_loop().create_task(self._finish(task, make_call, result_if_failed))
         self._tasks.add(running)
         running.add_done_callback(self._tasks.discard)
 
-    async def _finish(self, task: Task, coroutine: Coroutine[Any, Any, Any], result_if_failed: Any) -> None:
+    async def _finish(self, task: Task, make_call: MakeCall, result_if_failed: Any) -> None:
         result = result_if_failed
         try:
-            result = await coroutine
+            result = await make_call()
         finally:
             self._host.enqueue(CallFinished(task, result))
 
@@ -97,8 +100,8 @@
             left_s = self._seconds_until(call.until_us)
             if left_s <= 0:
                 break
-            wait_us = max(0, int((left_s - 2 * FETCH_MARGIN_S) * SECOND))
-            request = rpc_messages.OutcomeRequest(call.attempt, wait_us)
+            wait_s = max(0.0, left_s - max(MIN_REPLY_S, REPLY_RATIO * left_s))
+            request = rpc_messages.OutcomeRequest(call.attempt, int(wait_s * SECOND))
             result = await self._rpc.call(parse_address(call.owner), request, left_s)
             reply = result.value_or(None)
             if isinstance(reply, rpc_messages.OutcomeReply):
@@ -110,13 +113,13 @@
 
     async def answer_outcome(self, request: rpc_messages.OutcomeRequest) -> rpc_messages.OutcomeReply:
         """Say what came of an attempt of this proxy, once it has ended or the caller waits no longer."""
-        if self._waiting_replies >= MAX_WAITING_REPLIES:
+        if self.waiting_replies >= MAX_WAITING_REPLIES:
             return rpc_messages.OutcomeReply(self._attempts.outcomes.find(request.attempt))
-        self._waiting_replies += 1
+        self.waiting_replies += 1
         try:
             outcome = await self._wait_for_outcome(request.attempt, request.wait_us / SECOND)
         finally:
-            self._waiting_replies -= 1
+            self.waiting_replies -= 1
         return rpc_messages.OutcomeReply(outcome)
 
     async def _wait_for_outcome(self, attempt: str, wait_s: float) -> Outcome:
