--- a/lapisgrade/lab/partitions/operations.py
+++ b/lapisgrade/lab/partitions/operations.py
@@ -28,7 +28,7 @@
 from lapisgrade.lab.partitions.operation_server import OperationServer
 
 MODE = "keyed"  # of the operations' route
-MACHINES, CONTROLLERS, SERVERS = 5, 3, 4
+SERVERS = 4
 OPERATION_CLIENTS, LOOKUP_CLIENTS = 8, 4
 FAULTS_S = 8.0  # that faults are begun for
 CALM_S = 2.0  # of requests after the last fault has ended
@@ -47,20 +47,26 @@
         is_unruly: Whether servers go wrong.
         slots: Requests that a server takes at once.
         manner: As `FakeServer.manner`.
+        machines: Each has a proxy.
+        controllers: The machines that have a controller too.
     """
 
     faults: dict[str, int] = field(default_factory=dict)
     is_unruly: bool = True
     slots: int = SLOTS
     manner: str = ""
+    machines: int = 5
+    controllers: int = 3
 
 
+ALL_FAULTS = PROXY_FAULTS | CONTROLLER_FAULTS | CHANGES
 CASES = {
     "calm": Case(is_unruly=False),
     "unruly": Case(),
     "full": Case(is_unruly=False, slots=1, manner="silent"),
     "signals": Case(PROXY_FAULTS | CHANGES),
-    "controllers": Case(PROXY_FAULTS | CONTROLLER_FAULTS | CHANGES),
+    "controllers": Case(ALL_FAULTS),
+    "many": Case(ALL_FAULTS, machines=30, controllers=5),
     "herd": Case(PROXY_FAULTS | CHANGES | {"kill all proxies": 2}),
 }
 
@@ -100,7 +106,7 @@
 async def play(case_name: str, net: int, folder: str, random: Random, seconds: float = FAULTS_S) -> Found:
     """Play one case on machines of 127.`net`; TimeoutError where the system never came up."""
     case, history, found = CASES[case_name], History(), Found(case_name)
-    fleet = Fleet(net, folder, MACHINES, CONTROLLERS, grace=f"{GRACE_S:g}s")
+    fleet = Fleet(net, folder, case.machines, case.controllers, grace=f"{GRACE_S:g}s")
     fleet.sample = _sample()
     async with fleet:
         servers = await _start_servers(fleet, case, history, random)
