--- a/lapisgrade/gateway/controller/metrics.py
+++ b/lapisgrade/gateway/controller/metrics.py
@@ -27,7 +27,8 @@
         claims_granted: Claims that were answered with their own attempt, also one that is sent again.
         claims_held_by_another: Claims that were answered with another attempt.
         claims_without_room: Claims that were not recorded, as the table or the tenant's part of it is full.
-        claims_unknown: Claims whose outcome this leader couldn't tell.
+        claims_unknown: Claims without an answer: this controller doesn't lead, too many wait, or no majority
+            had them in time.
         claims_invalid: Claims that were refused as malformed.
     """
 
