--- a/lapisgrade/lab/partitions/operation_faults.py
+++ b/lapisgrade/lab/partitions/operation_faults.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import math
 import os
+import shutil
 import signal
 from collections import Counter
 from collections.abc import Coroutine
@@ -20,6 +22,7 @@
 
 GRACE_S = 6.0  # that a process may take to end after SIGTERM, as in the operators' deployments
 STARTUP_S = 3.0  # that a process's code may take to load on a busy machine
+SYNC_S = 6.0  # for which a machine counts as lost after it is back, as in the operators' deployments
 RESTART_DELAY_S = 0.5  # at most, from the end of a process until it is started again
 STEP_INTERVAL_S = 0.8  # at most, from one fault to the next
 HERD_PAUSE_S = 3.0  # after all proxies were killed at once
@@ -32,6 +35,8 @@
 # How often each fault is drawn; the names say what is done to a process of that role.
 PROXY_FAULTS = {"terminate proxy": 3, "kill proxy": 2, "reload proxy": 2, "terminate and kill proxy": 1}
 CONTROLLER_FAULTS = {"terminate controller": 1, "kill controller": 1, "reload controller": 1}
+DISK_FAULTS = {"empty controller": 2}
+BLACKOUTS = {"kill everything": 2}
 CHANGES = {"change configuration": 3}
 
 
@@ -60,6 +65,7 @@
     _ended_by_us: set[int] = field(default_factory=set)  # process ids
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
     _locks: dict[tuple[str, str], asyncio.Lock] = field(default_factory=dict)
+    _lost_until_s: dict[str, float] = field(default_factory=dict)  # by machine whose disk was lost
     _started_s: dict[int, float] = field(default_factory=dict)  # by process id
     _version: int = 1
     _changes: asyncio.Lock = field(default_factory=asyncio.Lock)
@@ -70,7 +76,7 @@
             await asyncio.sleep(self.random.uniform(0, STEP_INTERVAL_S))
             fault = self.random.choices(list(weights), list(weights.values()))[0]
             self._start(fault)
-            if fault == "kill all proxies":
+            if fault in ("kill all proxies", "kill everything"):
                 await asyncio.sleep(HERD_PAUSE_S)
         while self._tasks:
             await asyncio.gather(*self._tasks)
@@ -89,6 +95,8 @@
             doing = [self._change_configuration()]
         elif fault == "kill all proxies":
             doing = [self._kill("proxy", name) for name in self.fleet.ip]
+        elif fault == "kill everything":
+            doing = [self._kill(role, name) for role, name in self.fleet.running]
         else:
             action, role = fault.rsplit(" ", 1)
             name = self.random.choice(self.fleet.controllers if role == "controller" else list(self.fleet.ip))
@@ -97,6 +105,7 @@
             act = {
                 "terminate": self._terminate,
                 "kill": self._kill,
+                "empty": self._empty,
                 "reload": self._reload,
                 "terminate and kill": self._terminate_and_kill,
             }[action]
@@ -112,8 +121,12 @@
 
     def _is_another_controller_down(self, name: str) -> bool:
         """Whether a majority would be lost with this one."""
-        others = [self.fleet.running["controller", each] for each in self.fleet.controllers if each != name]
-        return any(each.returncode is not None or each.pid in self._ended_by_us for each in others)
+        now_s = asyncio.get_running_loop().time()
+        others = [each for each in self.fleet.controllers if each != name]
+        if any(now_s < self._lost_until_s.get(each, 0.0) for each in others):
+            return True
+        processes = [self.fleet.running["controller", each] for each in others]
+        return any(each.returncode is not None or each.pid in self._ended_by_us for each in processes)
 
     async def _terminate(self, role: str, name: str) -> None:
         process = self.fleet.running[role, name]
@@ -146,6 +159,20 @@
         await process.wait()
         await self._start_again(role, name, process)
 
+    async def _empty(self, role: str, name: str) -> None:
+        """The machine loses its disk; it counts as lost until some time after it is back."""
+        process = self.fleet.running[role, name]
+        if process.returncode is not None or process.pid in self._ended_by_us:
+            return  # it ends already, and may be started again at any moment
+        self._lost_until_s[name] = math.inf
+        self._ended_by_us.add(process.pid)
+        self.history.killed.add(process.pid)
+        process.kill()
+        await process.wait()
+        shutil.rmtree(os.path.join(self.fleet.folder, name))
+        await self._start_again(role, name, process)
+        self._lost_until_s[name] = asyncio.get_running_loop().time() + SYNC_S
+
     async def _terminate_and_kill(self, role: str, name: str) -> None:
         """The kill comes while the process shuts down."""
         terminating = asyncio.get_running_loop().create_task(self._terminate(role, name))
--- a/lapisgrade/lab/partitions/operations.py
+++ b/lapisgrade/lab/partitions/operations.py
@@ -17,8 +17,10 @@
 from lapisgrade.lab.partitions.fleet import Fleet
 from lapisgrade.lab.partitions.operation_clients import Client
 from lapisgrade.lab.partitions.operation_faults import (
+    BLACKOUTS,
     CHANGES,
     CONTROLLER_FAULTS,
+    DISK_FAULTS,
     GRACE_S,
     PROXY_FAULTS,
     ProcessFaults,
@@ -68,6 +70,8 @@
     "signals": Case(PROXY_FAULTS | CHANGES),
     "controllers": Case(ALL_FAULTS),
     "many": Case(ALL_FAULTS, machines=30, controllers=5),
+    "emptied": Case(ALL_FAULTS | DISK_FAULTS),
+    "blackout": Case(PROXY_FAULTS | CHANGES | BLACKOUTS),
     "herd": Case(PROXY_FAULTS | CHANGES | {"kill all proxies": 2}),
 }
 
