--- a/lapisgrade/gateway/consensus/follower.py
+++ b/lapisgrade/gateway/consensus/follower.py
@@ -69,13 +69,12 @@
             # Up to the commit index all logs agree; the leader tries again from there.
             self._reject(message, log.last_index if previous > log.last_index else state.commit_index)
             return
-        has_appended = self._append_missing(message)
+        self._append_missing(message)
         self.agreed_index = max(self.agreed_index, previous + len(message.entries), state.commit_index)
         state.commit_up_to(min(message.leader_commit, self.agreed_index))
+        self.acknowledge(message)
         if state.durable_index < self.agreed_index:
             self._unacknowledged = message
-        if not has_appended:  # else soon, with what is on its way to the disk
-            self.acknowledge(message)
 
     def on_install_snapshot(self, message: InstallSnapshot) -> None:
         """Take one chunk of the leader's snapshot, and install the snapshot with the last one."""
@@ -129,12 +128,8 @@
         expected = list(range(first, first + len(message.entries)))
         return [each.index for each in message.entries] == expected
 
-    def _append_missing(self, message: AppendEntries) -> bool:
-        """Append what the log lacks or has of another term (a late message takes nothing away).
-
-        Returns:
-            Whether there was any.
-        """
+    def _append_missing(self, message: AppendEntries) -> None:
+        """Append what the log lacks or has of another term (a late message takes nothing away)."""
         state, log = self.state, self.state.log
         missing = [
             each
@@ -146,7 +141,6 @@
             state.durable_index = min(state.durable_index, before)
             self.agreed_index = min(self.agreed_index, before)
             state.append(missing)
-        return bool(missing)
 
     def _install(self, message: InstallSnapshot, snapshot: bytes) -> None:
         state = self.state
