--- a/lapisgrade/lab/partitions/operations.py
+++ b/lapisgrade/lab/partitions/operations.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import logging
 import tempfile
 from collections import Counter
 from collections.abc import Callable
@@ -29,6 +30,8 @@
 from lapisgrade.lab.partitions.operation_history import Attempt, AttemptEnd, History, violations
 from lapisgrade.lab.partitions.operation_server import OperationServer
 
+log = logging.getLogger("operations")
+
 MODE = "keyed"  # of the operations' route
 SERVERS = 4
 OPERATION_CLIENTS, LOOKUP_CLIENTS = 8, 4
@@ -187,7 +190,9 @@
                 except TimeoutError:
                     found = Found(case, wrong=["something never came to be in time"])
             say(_row(found, seed))
-            wrong += [f"{case}, seed {seed}: {each}" for each in found.wrong[:MAX_SHOWN]]
+            for line in found.wrong[:MAX_SHOWN]:
+                wrong.append(f"{case}, seed {seed}: {line}")
+                log.warning(wrong[-1])  # before the table ends, as later plays may be broken off
     for line in wrong:
         say(line)
     return not wrong
