--- a/lapisgrade/lab/partitions/operation_faults.py
+++ b/lapisgrade/lab/partitions/operation_faults.py
@@ -117,7 +117,12 @@
     def _start_task(self, doing: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(doing)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._on_task_done)
+
+    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self.history.process_faults.append(f"a fault of the play's own failed: {error!r}")
 
     def _is_another_controller_down(self, name: str) -> bool:
         """Whether a majority would be lost with this one."""
@@ -169,7 +174,7 @@
         self.history.killed.add(process.pid)
         process.kill()
         await process.wait()
-        shutil.rmtree(os.path.join(self.fleet.folder, name))
+        shutil.rmtree(os.path.join(self.fleet.folder, name), ignore_errors=True)  # it may have none yet
         await self._start_again(role, name, process)
         self._lost_until_s[name] = asyncio.get_running_loop().time() + SYNC_S
 
