--- a/lapisgrade/lab/partitions/operation_history.py
+++ b/lapisgrade/lab/partitions/operation_history.py
@@ -78,6 +78,7 @@
         arrived: The ids of attempts that came to a server, run or not.
         killed: Ids of processes that were sent SIGKILL.
         process_faults: What processes did that they must not, in words.
+        stalls: When the play itself stood still, from and until; what was due then was not read in time.
     """
 
     attempts: dict[str, Attempt] = field(default_factory=dict)
@@ -85,6 +86,11 @@
     arrived: set[str] = field(default_factory=set)
     killed: set[int] = field(default_factory=set)
     process_faults: list[str] = field(default_factory=list)
+    stalls: list[tuple[float, float]] = field(default_factory=list)
+
+    def has_stalled(self, attempt: Attempt) -> bool:
+        """Whether the play stood still during an attempt."""
+        return any(start < attempt.ended_s and attempt.sent_s < end for start, end in self.stalls)
 
 
 def violations(history: History, has_keys: bool) -> list[str]:
@@ -142,6 +148,8 @@
 
 def _wrong_end(history: History, attempt: Attempt) -> list[str]:
     """What is wrong with how an attempt ended: a whole answer in time, or a close that is allowed."""
+    if attempt.end is AttemptEnd.SILENT and history.has_stalled(attempt):
+        return []
     if attempt.end in (AttemptEnd.SILENT, AttemptEnd.MALFORMED):
         return [f"{attempt.try_id} at {attempt.proxy}: {attempt.end.name} after {attempt.took_s:.3f} s"]
     if attempt.end is AttemptEnd.ANSWERED and attempt.took_s > DEADLINE_S + LEEWAY_S:
--- a/lapisgrade/lab/partitions/operations.py
+++ b/lapisgrade/lab/partitions/operations.py
@@ -89,6 +89,7 @@
     runs: int = 0
     done: Counter[str] = field(default_factory=Counter)
     usage: Usage = field(default_factory=Usage)
+    stalls: int = 0  # of the play itself
     wrong: list[str] = field(default_factory=list)
 
 
@@ -136,7 +137,7 @@
     found.operations = [each for each in attempts if each.key]
     found.lookups = [each for each in attempts if not each.key]
     found.runs, found.done = len(history.runs), process_faults.done
-    found.usage = process_faults.usage
+    found.usage, found.stalls = process_faults.usage, len(history.stalls)
     return found
 
 
@@ -179,8 +180,8 @@
     """Print a Markdown table, a row for each play; whether nothing was seen that must not be."""
     say(f"Mode {MODE}.")
     say("| case | seed | faults | operations: attempts, served | look-ups, served | runs "
-        "| statuses | most memory, descriptors | wrong |")  # fmt: skip
-    say("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+        "| statuses | most memory, descriptors | stalls | wrong |")  # fmt: skip
+    say("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
     wrong: list[str] = []
     for case in cases:
         for seed in seeds:
@@ -205,5 +206,5 @@
         f"| {found.case} | {seed} | {found.done.total()} | {len(found.operations)}, "
         f"{share_served(found.operations):.3f} | {len(found.lookups)}, {share_served(found.lookups):.3f} "
         f"| {found.runs} | {shown} | {found.usage.resident_mb:.0f} MB, {found.usage.descriptors} "
-        f"| {len(found.wrong)} |"
+        f"| {found.stalls} | {len(found.wrong)} |"
     )
--- a/tests/lab/partitions/test_operations.py
+++ b/tests/lab/partitions/test_operations.py
@@ -98,3 +98,13 @@
     history.attempts["a"].process_id = 7
     history.killed.add(7)
     assert violations(history, has_keys=True) == []
+
+
+def test_silence_counts_unless_the_play_itself_stood_still() -> None:
+    history = good_history()
+    is_silent(history)
+    history.attempts["c"].sent_s, history.attempts["c"].ended_s = 10.0, 17.0
+    history.stalls = [(2.0, 9.0)]
+    assert len(violations(history, has_keys=True)) == 1
+    history.stalls = [(11.0, 16.5)]
+    assert violations(history, has_keys=True) == []
