--- a/lapisgrade/lab/partitions/operations.py
+++ b/lapisgrade/lab/partitions/operations.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import logging
 import tempfile
 from collections import Counter
 from collections.abc import Callable
@@ -29,6 +30,8 @@
 from lapisgrade.lab.partitions.operation_history import Attempt, AttemptEnd, History, violations
 from lapisgrade.lab.partitions.operation_server import OperationServer
 
+log = logging.getLogger("operations")
+
 MODE = "keyed"  # of the operations' route
 SERVERS = 4
 OPERATION_CLIENTS, LOOKUP_CLIENTS = 8, 4
@@ -86,6 +89,7 @@
     runs: int = 0
     done: Counter[str] = field(default_factory=Counter)
     usage: Usage = field(default_factory=Usage)
+    stalls: int = 0  # of the play itself
     wrong: list[str] = field(default_factory=list)
 
 
@@ -133,7 +137,7 @@
     found.operations = [each for each in attempts if each.key]
     found.lookups = [each for each in attempts if not each.key]
     found.runs, found.done = len(history.runs), process_faults.done
-    found.usage = process_faults.usage
+    found.usage, found.stalls = process_faults.usage, len(history.stalls)
     return found
 
 
@@ -176,8 +180,8 @@
     """Print a Markdown table, a row for each play; whether nothing was seen that must not be."""
     say(f"Mode {MODE}.")
     say("| case | seed | faults | operations: attempts, served | look-ups, served | runs "
-        "| statuses | most memory, descriptors | wrong |")  # fmt: skip
-    say("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+        "| statuses | most memory, descriptors | stalls | wrong |")  # fmt: skip
+    say("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
     wrong: list[str] = []
     for case in cases:
         for seed in seeds:
@@ -187,7 +191,9 @@
                 except TimeoutError:
                     found = Found(case, wrong=["something never came to be in time"])
             say(_row(found, seed))
-            wrong += [f"{case}, seed {seed}: {each}" for each in found.wrong[:MAX_SHOWN]]
+            for line in found.wrong[:MAX_SHOWN]:
+                wrong.append(f"{case}, seed {seed}: {line}")
+                log.warning(wrong[-1])  # before the table ends, as later plays may be broken off
     for line in wrong:
         say(line)
     return not wrong
@@ -200,5 +206,5 @@
         f"| {found.case} | {seed} | {found.done.total()} | {len(found.operations)}, "
         f"{share_served(found.operations):.3f} | {len(found.lookups)}, {share_served(found.lookups):.3f} "
         f"| {found.runs} | {shown} | {found.usage.resident_mb:.0f} MB, {found.usage.descriptors} "
-        f"| {len(found.wrong)} |"
+        f"| {found.stalls} | {len(found.wrong)} |"
     )
