A controller that can't read a committed entry ends, and loses no write of that step

Seen: a controller at an older release that got a committed command of a later one (as a claim of keys, ClaimOperations) raised msgspec.ValidationError out of the driver's step. That step's writes never reached the log writer and its messages were not sent; the process went on, voted and answered, and later writes counted as durable over the hole in its log.

Cause: committed entries were applied before the same step's writes were queued, and nothing stood between a command that can't be decoded and the event loop, which logs the exception and goes on.

Controller.run closes without leaving the cluster and raises the error; main logs it in one line and returns exit code 4.

Why it works: what a later write counts on is queued before anything of the step that can raise, and after an unreadable entry no write is queued at all. Acknowledgements of writes that were under way are not sent either.

--- a/lapisgrade/gateway/__main__.py
+++ b/lapisgrade/gateway/__main__.py
@@ -55,7 +55,8 @@
   --seconds=S      how long the demo's load lasts [default: 5]
   --log=LEVEL      what is logged on standard error: debug, info, warning [default: info]
 
-A settings file that can't be taken is told in one line, and the program ends with code 2.
+A settings file that can't be taken is told in one line, and the program ends with code 2. A controller whose
+log holds what a later release wrote says so in one line, and ends with code 4.
 """
 
 # A second command-line library beside click, on which `lapisgrade.cli` is written. Neither can take the
@@ -65,7 +66,7 @@
 # machine). `lapisgrade.cli.gateway` hands these commands' arguments on as they are.
 
 # First, as it may switch off garbage collection while a role's code loads.
-from lapisgrade.gateway.errors import InvalidInputError
+from lapisgrade.gateway.errors import InvalidInputError, UnreadableLogError
 
 from lapisgrade.gateway import startup  # isort: skip
 
@@ -223,6 +224,9 @@
     except InvalidInputError as error:
         print(f"{'lapisgrade' if is_operator_command else 'settings'}: {error}", file=sys.stderr)
         return ExitCode.INVALID_INPUT
+    except UnreadableLogError as error:
+        log.error("%s", error)
+        return ExitCode.UNREADABLE_LOG
 
 
 if __name__ == "__main__":
--- a/lapisgrade/gateway/controller/consensus_driver.py
+++ b/lapisgrade/gateway/controller/consensus_driver.py
@@ -3,14 +3,18 @@
 `consensus.node.Node` is pure. After each call into it this module
 
     1. loads a snapshot into the state machine, if one was installed,
-    2. applies the committed entries and completes the proposals that wait for them,
-    3. hands records to the log writer; messages that depend on them are sent once they are on disk,
+    2. hands records to the log writer; messages that depend on them are sent once they are on disk,
+    3. applies the committed entries and completes the proposals that wait for them,
     4. sends the messages that depend on no write,
     5. hands the node its messages to itself, and repeats 1 to 4 for what they caused,
     6. replaces a long log by a snapshot,
     7. reports a change of leadership, and arms the timer for the node's next deadline.
 
-A controller without a disk has no node: its driver is never started, never leads, and proposes nothing.
+Records come before what may fail (guards the log against a hole: a later write counts as durable with all
+that was written before it).
+
+A controller without a disk has no node: its driver is never started, never leads, and proposes nothing. Nor
+has one that met an entry or a snapshot that it can't read: the driver gives up its node and reports that.
 """
 
 import asyncio
@@ -30,6 +34,7 @@
 from lapisgrade.gateway.controller.log_writer import LogWriter
 from lapisgrade.gateway.controller.metrics import ControllerMetrics
 from lapisgrade.gateway.controller.state_machine import StateMachine
+from lapisgrade.gateway.errors import UnreadableLogError
 
 log = logging.getLogger("controller")
 
@@ -86,8 +91,18 @@
         clock: Callable[[], int],
         metrics: ControllerMetrics,
         observer: ConsensusObserver,
+        on_unreadable_log: Callable[[UnreadableLogError], None],
     ) -> None:
-        """`send` posts a message to an address; `clock` tells the steady time in us."""
+        """Drive no node yet.
+
+        Args:
+            state_machine: Committed entries are applied to it.
+            send: Posts a message to an address.
+            clock: Tells the steady time in us.
+            metrics: Elections, entries and proposals are counted here.
+            observer: Is called at each step.
+            on_unreadable_log: Is called once the node was given up; the process has to end.
+        """
         self.node: Node | None = None
         self.is_established = False  # the node leads and has applied what earlier terms committed
         self._state_machine = state_machine
@@ -95,6 +110,7 @@
         self._clock = clock
         self._metrics = metrics
         self.observer = observer
+        self._on_unreadable_log = on_unreadable_log
         self._log_writer: LogWriter  # set by `start`, as the next one
         self._leader_tasks: LeaderTasks
         self._pending_proposals: dict[
@@ -148,7 +164,9 @@
 
     def on_written(self, writes: list[DurableWrite], last_index: int, last_term: int) -> None:
         """Note that those writes are on disk, and send the messages that waited for them."""
-        node = self.started_node
+        node = self.node
+        if node is None:
+            return  # it was given up meanwhile
         node.on_write_durable(self._clock(), last_index, last_term)
         for write in writes:
             for address, message in write.sends_when_durable:
@@ -202,17 +220,32 @@
         node = self.node
         if node is None:
             return
+        try:
+            self._carry_out_all_effects(node)
+        except UnreadableLogError as error:
+            self._give_up_node(error)
+            return
+        self._follow_leadership(node)
+        if self._timer is not None:
+            self._timer.cancel()
+        delay_s = max(MIN_TIMER_S, (node.next_tick_us - self._clock()) / SECOND)
+        self._timer = asyncio.get_running_loop().call_later(delay_s, self._on_timer)
+
+    def _carry_out_all_effects(self, node: Node) -> None:
         while self._carry_out_effects(node):
             pass
         if node.needs_compaction(self._light_entries):
             node.compact(self._state_machine.dump())
             self._light_entries = 0
             self._carry_out_effects(node)
-        self._follow_leadership(node)
-        if self._timer is not None:
-            self._timer.cancel()
-        delay_s = max(MIN_TIMER_S, (node.next_tick_us - self._clock()) / SECOND)
-        self._timer = asyncio.get_running_loop().call_later(delay_s, self._on_timer)
+
+    def _give_up_node(self, error: UnreadableLogError) -> None:
+        """Neither vote nor answer any more: the state lacks an entry that was committed."""
+        self.node = None
+        self.is_established = False
+        self.close()
+        self._fail_pending_proposals()
+        self._on_unreadable_log(error)
 
     def _carry_out_effects(self, node: Node) -> bool:
         """Return whether the node sent messages to itself, which may have had effects of their own."""
@@ -221,10 +254,10 @@
             self._state_machine.load(effects.snapshot)
             self._light_entries = 0
             self._on_applied()
-        for entry in effects.committed:
-            self._apply(entry)
         for write in effects.writes:
             self._log_writer.put(write)
+        for entry in effects.committed:
+            self._apply(entry)
         own_messages = []
         for address, message in effects.sends:
             if address == node.address:
--- a/lapisgrade/gateway/controller/leader_discovery.py
+++ b/lapisgrade/gateway/controller/leader_discovery.py
@@ -111,5 +111,5 @@
             await asyncio.sleep(LEAVE_INTERVAL_S)
 
     def _is_removable_voter(self) -> bool:
-        node = self._consensus.started_node
-        return len(node.voters) > MIN_VOTERS and node.identity in node.voters
+        node = self._consensus.node
+        return node is not None and len(node.voters) > MIN_VOTERS and node.identity in node.voters
--- a/lapisgrade/gateway/controller/server.py
+++ b/lapisgrade/gateway/controller/server.py
@@ -38,6 +38,7 @@
 from lapisgrade.gateway.controller.state_machine import StateMachine
 from lapisgrade.gateway.controller.watch import Watch
 from lapisgrade.gateway.controller.watch_service import WatchService
+from lapisgrade.gateway.errors import UnreadableLogError
 from lapisgrade.gateway.http_server import MAX_CONNECTIONS, HttpReply, HttpServer
 from lapisgrade.gateway.rpc import RpcEndpoint
 from lapisgrade.gateway.settings import Settings, parse_address
@@ -121,10 +122,16 @@
         self._environment = environment
         self._own_address = settings.internal_address(0)
         self._end_requested = asyncio.Event()
+        self._unreadable_log: UnreadableLogError | None = None
         clock = environment.clock
         self.rpc = environment.rpc(self._on_call, self._on_message)
         self.consensus = ConsensusDriver(
-            self.state_machine, self._send, clock, self.metrics, environment.observer
+            self.state_machine,
+            self._send,
+            clock,
+            self.metrics,
+            environment.observer,
+            self._on_unreadable_log,
         )
         self.membership = ClusterMembership(
             self.consensus, self._send, self._current_settings, clock, environment.random
@@ -182,22 +189,33 @@
     # ---- life cycle
 
     async def run(self) -> None:
-        """Recover, listen and serve until `end` is called, then leave the cluster."""
+        """Recover, listen and serve until `end` is called, then leave the cluster.
+
+        Raises:
+            UnreadableLogError: The log holds what a later release wrote; nothing is served any more.
+        """
         tasks = await self._recover()
         await self._listen()
         self.consensus.step()
         try:
             await self._end_requested.wait()
             self.control_server.closing = True
-            await self._leave_cluster()
+            if self._unreadable_log is None:
+                await self._leave_cluster()
         finally:
             self._close(tasks)
             log.info("metrics %s", self.metrics.nonzero())
+        if self._unreadable_log is not None:
+            raise self._unreadable_log
 
     def end(self) -> None:
         """Begin a graceful shutdown."""
         self._end_requested.set()
 
+    def _on_unreadable_log(self, error: UnreadableLogError) -> None:
+        self._unreadable_log = error
+        self._end_requested.set()
+
     def reload(self, settings: Settings) -> None:
         """Replace the settings; addresses and the data directory stay as they were."""
         self.settings = settings
--- a/lapisgrade/gateway/controller/state_machine.py
+++ b/lapisgrade/gateway/controller/state_machine.py
@@ -30,6 +30,7 @@
     ServerSnapshot,
 )
 from lapisgrade.gateway.controller.state import State, decode_snapshot, encode_snapshot
+from lapisgrade.gateway.errors import UnreadableLogError
 from lapisgrade.gateway.merge.three_way import Draft, MergeOutcome
 from lapisgrade.gateway.quota.ownership import eligible_owners
 
@@ -40,6 +41,15 @@
 _COMMAND_DECODER = msgspec.msgpack.Decoder(LogCommand)
 
 
+def _decode_command(index: int, data: bytes) -> LogCommand:
+    try:
+        return _COMMAND_DECODER.decode(data)
+    except msgspec.MsgspecError as error:
+        raise UnreadableLogError(
+            f"entry {index} of the log can't be read, a later release wrote it: {error}"
+        ) from error
+
+
 class PreparedChange(msgspec.Struct, frozen=True):
     """What a change would be answered now, and the command for it; None where none is needed."""
 
@@ -61,8 +71,17 @@
         return encode_snapshot(self.state)
 
     def load(self, data: bytes) -> None:
-        """Replace the state by that of a snapshot."""
-        self.state = decode_snapshot(data)
+        """Replace the state by that of a snapshot.
+
+        Raises:
+            UnreadableLogError: A later release wrote it.
+        """
+        try:
+            self.state = decode_snapshot(data)
+        except msgspec.MsgspecError as error:
+            raise UnreadableLogError(
+                f"the log's snapshot can't be read, a later release wrote it: {error}"
+            ) from error
 
     # ---- queries of the leader
 
@@ -86,8 +105,12 @@
     # ---- commands
 
     def apply(self, index: int, data: bytes) -> ApplyResult:
-        """Apply an encoded command, which stands at that index of the log."""
-        command = _COMMAND_DECODER.decode(data)
+        """Apply an encoded command, which stands at that index of the log.
+
+        Raises:
+            UnreadableLogError: A later release wrote it; nothing was applied.
+        """
+        command = _decode_command(index, data)
         match command:
             case ConfigurationChange():
                 return self._apply_change(command)
--- a/lapisgrade/gateway/errors.py
+++ b/lapisgrade/gateway/errors.py
@@ -1,4 +1,4 @@
-"""Errors for what operators and peers hand in to the gateway."""
+"""Errors for what operators, peers and later releases hand in to the gateway."""
 
 from lapisgrade.errors import LapisgradeError
 
@@ -13,3 +13,7 @@
 
 class ConfigurationError(InvalidInputError):
     """A configuration, a change or a draft of one, or its encoded form, can't be accepted."""
+
+
+class UnreadableLogError(LapisgradeError):
+    """A controller's replicated log holds what this release can't read: a later release wrote it."""
