An unreadable message costs itself alone, not its connection's other calls

Seen: where one message of a later release came over a connection, all open calls of that connection failed with MAY_HAVE_RUN, a proxy's pending watch among them.

Cause: the number and the message of a frame were decoded at once, so a message of an unknown type looked like bytes that are no frame, and the connection was aborted.

Change: a frame that does not decode is decoded again for its number alone. If that works, only the message is unreadable: without a number it is ignored; a call is answered with nil, which the caller takes as NOT_RUN; an unreadable reply fails its own call as MAY_HAVE_RUN. What has no frame form is aborted as before.

Why an explicit reply: a call that runs out of time makes the caller drop the connection (Peer._on_timeout), and with it the other calls. A caller without this change closes the connection at nil, which the callee did before: no worse.

New tests, written with the fix: the early NOT_RUN, an unreadable reply, a message without a number, a flood, the log line.

--- a/lapisgrade/gateway/rpc.py
+++ b/lapisgrade/gateway/rpc.py
@@ -13,7 +13,7 @@
 from returns.result import Result
 
 from lapisgrade.gateway.call_failure import CallFailure
-from lapisgrade.gateway.rpc_connection import Codec, Connection
+from lapisgrade.gateway.rpc_connection import Codec, Connection, UnreadableMessage
 from lapisgrade.gateway.rpc_peer import Peer
 
 MAX_PEERS = 512  # that a process keeps connections to
@@ -107,6 +107,10 @@
             task.cancel()
 
     def _on_frame(self, connection: Connection, number: int, message: Any) -> None:
+        if isinstance(message, UnreadableMessage):
+            if number:
+                connection.refuse(number)
+            return
         if not number:
             self._on_message(message)
             return
--- a/lapisgrade/gateway/rpc_peer.py
+++ b/lapisgrade/gateway/rpc_peer.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from lapisgrade.gateway.call_failure import CallFailure
-from lapisgrade.gateway.rpc_connection import Codec, Connection
+from lapisgrade.gateway.rpc_connection import Codec, Connection, UnreadableMessage
 
 CONNECT_TIMEOUT_S = 0.35  # several round trips between zones; a connection not up by then is tried anew
 MAX_UNSENT_MESSAGES = 512  # that wait for a connection
@@ -108,6 +108,9 @@
         return Connection(self._codec, self._on_frame, self._on_close)
 
     def _on_frame(self, connection: Connection, number: int, message: Any) -> None:
+        if isinstance(message, UnreadableMessage):
+            self._fail([number], CallFailure.NOT_RUN if message.is_refusal else CallFailure.MAY_HAVE_RUN)
+            return
         future = self._waiting.pop(number, None)
         if future is not None and not future.done():
             future.set_result(Success(message))
--- a/tests/gateway/test_rpc.py
+++ b/tests/gateway/test_rpc.py
@@ -26,7 +26,20 @@
     text: str
 
 
+class LaterQuestion(msgspec.Struct, array_like=True, tag="n"):
+    """A call that only a later release knows."""
+
+    text: str
+
+
+class LaterAnswer(msgspec.Struct, array_like=True, tag="l"):
+    """A reply that only a later release knows."""
+
+    text: str
+
+
 UNION = Question | Answer
+LATER_UNION = Question | LaterQuestion | Answer | LaterAnswer
 
 
 async def answer(question: Question) -> Answer:
@@ -144,3 +157,102 @@
         buffer += data[cut:]
         assert frames + codec.decode(buffer) == [(1, Question("a")), (0, Answer("b"))]
         assert not buffer
+
+
+async def test_a_call_of_a_later_release_fails_no_other_call() -> None:
+    async def answer_slowly(question: Question) -> Answer:
+        await asyncio.sleep(0.1)
+        return Answer(question.text)
+
+    address = free_address()
+    caller, callee = RpcEndpoint(LATER_UNION, never), RpcEndpoint(UNION, answer_slowly)
+    await callee.listen(address)
+    try:
+        watch = asyncio.ensure_future(caller.call(address, Question("x"), 2.0))
+        await asyncio.sleep(0.05)
+        await caller.call(address, LaterQuestion("y"), 0.5)
+        assert await watch == Success(Answer("x"))
+    finally:
+        caller.close()
+        callee.close()
+
+
+async def test_a_call_that_the_callee_can_not_read_did_not_run_and_fails_before_its_time() -> None:
+    address = free_address()
+    caller, callee = RpcEndpoint(LATER_UNION, never), RpcEndpoint(UNION, never)
+    await callee.listen(address)
+    try:
+        async with asyncio.timeout(TIMEOUT_S / 2):
+            got = await caller.call(address, LaterQuestion("y"), TIMEOUT_S)
+        assert got == Failure(CallFailure.NOT_RUN)
+        assert callee.metrics.calls_received == 0
+    finally:
+        caller.close()
+        callee.close()
+
+
+async def test_a_reply_that_can_not_be_read_fails_its_call_alone() -> None:
+    async def answer_as_later(question: Question) -> Answer | LaterAnswer:
+        if question.text == "later":
+            return LaterAnswer("y")
+        await asyncio.sleep(0.1)
+        return Answer("x")
+
+    address = free_address()
+    caller, callee = RpcEndpoint(UNION, never), RpcEndpoint(LATER_UNION, answer_as_later)
+    await callee.listen(address)
+    try:
+        watch = asyncio.ensure_future(caller.call(address, Question("watch"), TIMEOUT_S))
+        async with asyncio.timeout(TIMEOUT_S / 2):
+            got = await caller.call(address, Question("later"), TIMEOUT_S)
+        assert got == Failure(CallFailure.MAY_HAVE_RUN)
+        assert await watch == Success(Answer("x"))
+    finally:
+        caller.close()
+        callee.close()
+
+
+async def test_a_message_without_a_reply_that_can_not_be_read_is_ignored() -> None:
+    address = free_address()
+    received: list[Any] = []
+    caller, callee = RpcEndpoint(LATER_UNION, never), RpcEndpoint(UNION, answer, received.append)
+    await callee.listen(address)
+    try:
+        caller.post(address, LaterQuestion("y"))
+        caller.post(address, Question("x"))
+        assert await caller.call(address, Question("a"), TIMEOUT_S) == Success(Answer("A"))
+        assert received == [Question("x")]
+    finally:
+        caller.close()
+        callee.close()
+
+
+def test_a_flood_of_messages_that_can_not_be_read_loses_its_connection():
+    async def scenario(caller, callee, address):
+        frame = Codec(LATER_UNION).encode(7, LaterQuestion("y"))
+        refusal = Codec(UNION).encode(7, None)
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(frame * rpc_connection.MAX_UNREADABLE_MESSAGES)
+        refusals = await reader.readexactly(len(refusal) * rpc_connection.MAX_UNREADABLE_MESSAGES)
+        assert refusals == refusal * rpc_connection.MAX_UNREADABLE_MESSAGES
+        writer.write(frame)
+        assert await reader.read() == b""
+        writer.close()
+        assert await caller.call(address, Question("a"), TIMEOUT_S) == Success(Answer("A"))
+
+    run(scenario)
+
+
+def test_unreadable_messages_of_a_connection_are_logged_in_one_short_line(caplog: pytest.LogCaptureFixture):
+    async def scenario(caller, callee, address):
+        message = msgspec.msgpack.encode((0, ["\n" * 1000, "y"]))
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write((len(message).to_bytes(4, "big") + message) * 3 + Codec(UNION).encode(1, Question("a")))
+        assert await reader.readexactly(4)
+        writer.close()
+
+    run(scenario)
+    (line,) = [record.getMessage() for record in caplog.records if record.name == "rpc"]
+    assert "a message of another release" in line
+    assert "\n" not in line
+    assert len(line) < 3 * rpc_connection.MAX_LOGGED_CHARACTERS
