Review case 1: a configuration over 8 MiB ends every controller for good

The operator adds tenants by small changes to a configuration of 7.4 MB; the change that takes it over 8 MiB is committed and can't be applied. After kill_all no controller survives its start, and nothing acknowledged is read back.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,32 +1,31 @@
-"""After a burst of users, requests get no answer at all: more than 1,024 descriptors were in use.
+"""After a configuration has grown to 8 MiB, no controller survives its next start: all of it is lost.
 
-Users send requests to one machine at a steady rate, each on a new connection. Each request takes three
-seconds at its server. For 3.5 s there are 1.8 times as many users. The machine has 4,100 descriptors, the
-servers have slots for all, and no process and no link is in trouble.
+The operator has a configuration with many API keys, about 7.4 MB. It adds tenants by small changes, each on
+top of the one before, until one gets no clear answer. Then all processes are killed at once, and come back a
+second later with their disks. The operator reads the configuration back.
 """
 
 import asyncio
+import random
+import signal
 import sys
-from collections import Counter
 from pathlib import Path
+from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 import stand_ins
 from stand_ins import Fleet, Record
 
-RATE_PER_S = 105
-BURST_X = 1.8
-BURST_AT_S = 5.0
-BURST_S = 3.5
-LENGTH_S = 16.0
-SERVERS = 10
-SLOTS = 120
-WORK_S = 3.0
-TIMEOUT_S = 5.0  # of the route
-DEADLINE_S = 7.0  # of the clients
-ANSWER_DUE_S = 0.5  # after the route's time-out, by the rule
-MIN_UNANSWERED = 8  # by the rule
-FRONT = "edge-4"
+TENANTS = 198  # of the large configuration
+KEYS = 560  # of each tenant
+CHANGES = 16
+TENANTS_ADDED = 2  # by each change
+ORDER_S = 8.0  # how long the operator waits for the answer to one order
+REPLACE_TRIES = 10
+UPDATE_TRIES = 4
+DOWN_S = 1.0  # after which the killed processes are started again
+READ_BACK_S = 20.0  # how long it asks for the configuration; `Contact` is 3 s
+RESTART_S = 0.5  # after which the platform starts a process that has ended
 
 
 class Case:
@@ -35,55 +34,103 @@
     def __init__(self, record: Record, has_trouble: bool) -> None:
         self.record = record
         self.has_trouble = has_trouble
-        self.fleet = Fleet(record, 5, descriptors=4100)
-        self.answers: Counter[int] = Counter()
-        self.open_at_timeout = 0  # requests without an answer at the route's time-out
-        self.open_later = 0  # those of them without an answer ANSWER_DUE_S later
+        self.fleet = Fleet(record, 4)
+        self.acknowledged = 1
+        self.is_killing = False
+        self.ends = dict.fromkeys(self.fleet.core, 0)  # by machine: how often its controller ended by itself
 
     async def run(self) -> int:
         """Run and judge."""
         fleet = self.fleet
-        for _ in range(SERVERS):
-            fleet.add_server("reports", WORK_S, SLOTS)
-        route = stand_ins.route("report", "/report/", "reports", timeout_ms=int(TIMEOUT_S * 1000))
-        route["Target_time"] = "4000ms"
+        fleet.add_server("stock")
+        first = stand_ins.configuration([stand_ins.route("stock", "/stock/", "stock")], ["stock"])
+        first["Tenants"] = [self._tenant(0, KEYS)]
         try:
-            await fleet.start_all(stand_ins.configuration([route], ["reports"]))
-            await self._load()
+            await fleet.start_all(first)
+            platform = asyncio.create_task(self._restart_ended())
+            version = await self._change_and_read_back(first)
+            platform.cancel()
         finally:
             fleet.close()
         self.record.write(
-            f"result: answers by status, 0 for none: {dict(self.answers)}; open at the route's time-out:"
-            f" {self.open_at_timeout}; of these still open {ANSWER_DUE_S} s later: {self.open_later}"
+            f"result: newest acknowledged version {self.acknowledged}, read back: {version or 'nothing'};"
+            f" controllers ended by themselves: {self.ends}"
         )
-        if self.answers[200] < RATE_PER_S:
+        if self.acknowledged < 2:
             return stand_ins.NOT_RUN
-        is_broken = self.open_later >= MIN_UNANSWERED and 2 * self.open_later > self.open_at_timeout
-        return stand_ins.BROKEN if is_broken else stand_ins.HELD
+        return stand_ins.HELD if version >= self.acknowledged else stand_ins.BROKEN
 
-    async def _load(self) -> None:
+    async def _change_and_read_back(self, first: dict[str, Any]) -> int:
+        large = {
+            **first,
+            "Ver": 2,
+            "Base": 1,
+            "Tenants": [self._tenant(each, KEYS) for each in range(TENANTS)],
+        }
+        is_taken = await self._order("conf.replace", large, REPLACE_TRIES)
+        for number in range(CHANGES if is_taken else 0):
+            start = TENANTS + number * TENANTS_ADDED
+            added = [self._tenant(start + each, KEYS) for each in range(TENANTS_ADDED)]
+            change = {"Ver": self.acknowledged + 1, "Base": self.acknowledged, "Upsert": {"Tenants": added}}
+            if not await self._order("conf.update", change, UPDATE_TRIES):
+                break
+            await asyncio.sleep(0.3)
+        if self.has_trouble:
+            await self._kill_all()
+        return await self._read_back()
+
+    async def _kill_all(self) -> None:
+        """Kill all processes at once, and start them again, with their disks."""
+        self.is_killing = True
+        for role, name in self.fleet.processes:
+            self.fleet.signal(role, name, signal.SIGKILL)
+        await asyncio.sleep(DOWN_S)
+        for role, name in list(self.fleet.processes):
+            await self.fleet.ended(role, name, 1.0)
+            self.fleet.start(role, name)
+        self.is_killing = False
+
+    @staticmethod
+    def _tenant(number: int, keys: int) -> dict[str, Any]:
+        names = [f"{number:04d}{key:04d}{random.getrandbits(224):056x}" for key in range(keys)]
+        return {"Name": f"tenant-{number:04d}", "Apikeys": names, "Prio": 1, "RateS": 50, "Burst": 50}
+
+    async def _order(self, call: str, body: dict[str, Any], tries: int) -> bool:
+        """Send one order until it has a clear answer; return whether it was acknowledged."""
+        for _ in range(tries):
+            reply = await self.fleet.call_any(f"/-/rpc?call={call}", body, ORDER_S)
+            self.record.write(f"operator: {call}, version {body['Ver']}: {reply.status or 'no answer'}")
+            if reply.status == 200:
+                self.acknowledged = body["Ver"]
+                return True
+            if 400 <= reply.status < 500:
+                return False
+            await asyncio.sleep(0.5)
+        return False
+
+    async def _read_back(self) -> int:
+        """Ask for the configuration again and again; return its version, 0 if it never comes."""
         loop = asyncio.get_running_loop()
-        start, number = loop.time(), 0
-        due_s = 0.0
-        async with asyncio.TaskGroup() as tasks:
-            while due_s < LENGTH_S:
-                tasks.create_task(self._ask(number))
-                number += 1
-                in_burst = self.has_trouble and BURST_AT_S <= due_s < BURST_AT_S + BURST_S
-                due_s += 1 / (RATE_PER_S * (BURST_X if in_burst else 1.0))
-                await asyncio.sleep(max(0.0, start + due_s - loop.time()))
-
-    async def _ask(self, number: int) -> None:
-        try_id = f"try-{number}"
-        headers = {"Host": "a.example", "Try-Id": try_id, "Deadline-Ms": str(int(DEADLINE_S * 1000))}
-        sent = self.record.now()
-        reply = await self.fleet.request(FRONT, "GET", "/report/x", headers, timeout_s=DEADLINE_S)
-        took_s = self.record.now() - sent
-        self.answers[reply.status] += 1
-        self.open_at_timeout += took_s > TIMEOUT_S
-        self.open_later += took_s > TIMEOUT_S + ANSWER_DUE_S
-        answer = f"{reply.status} after {took_s:.2f} s" if reply.status else f"no answer in {took_s:.2f} s"
-        self.record.write(f"client: {try_id} sent at {sent:.3f}: {answer}")
+        until = loop.time() + READ_BACK_S
+        while loop.time() < until:
+            reply = await self.fleet.call_any("/-/rpc?call=conf.show", {}, 3.0)
+            found = stand_ins.version_of(reply.body) if reply.status == 200 else 0
+            self.record.write(f"operator: conf.show: {reply.status or 'no answer'}, version {found}")
+            if found >= self.acknowledged:
+                return found
+            await asyncio.sleep(0.5)
+        return 0
+
+    async def _restart_ended(self) -> None:
+        """Start each controller that has ended again after a short delay, as the platform does."""
+        while True:
+            for name in self.fleet.core:
+                if not self.is_killing and await self.fleet.ended("controller", name, 0.0):
+                    self.ends[name] += 1
+                    self.record.write(f"platform: controller {name} has ended by itself")
+                    await asyncio.sleep(RESTART_S)
+                    self.fleet.start("controller", name)
+            await asyncio.sleep(0.1)
 
 
 async def run(record: Record, has_trouble: bool) -> int:
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -121,6 +121,7 @@
         self.ip = ip
         self.work_s = work_s
         self.slots = slots
+        self.answer_bytes = 0  # size to which the bodies of successes are filled up
         self.runs: list[tuple[float, str, str]] = []  # time, Try-Id and Op-Key of each run
         self.running = 0
         self._fleet = fleet
@@ -178,7 +179,7 @@
             await asyncio.sleep(self.work_s)
         finally:
             self.running -= 1
-        answer = f"{self.service} {self.name} {try_id} {len(body)}".encode()
+        answer = f"{self.service} {self.name} {try_id} {len(body)}".encode().ljust(self.answer_bytes)
         seal = f"Server-Seal: {self.name}.{try_id}\r\n"
         return f"HTTP/1.1 200 OK\r\n{common}{seal}Content-Length: {len(answer)}\r\n\r\n".encode() + answer
 
@@ -367,6 +368,14 @@
     }  # fmt: skip
 
 
+def version_of(body: bytes) -> int:
+    """Return the version of a configuration that was read back; 0 if it can't be read."""
+    try:
+        return int(json.loads(body)["Ver"])
+    except (ValueError, KeyError, TypeError):
+        return 0
+
+
 def run_case(folder: Path, case: Any) -> None:
     """Run `case(record, has_trouble)`, which returns an exit code, and exit with it."""
     record = Record(folder)
