--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,27 +1,32 @@
-"""A route that moved is still handled as before, long after the acknowledgement, while changes go on.
+"""After a burst of users, requests get no answer at all: more than 1,024 descriptors were in use.
 
-The operator sends ten small changes a second, one after the other. One of them moves a route from service
-`old` to service `new`. Meanwhile two proxies without a disk stand still, one 1.5 s after the other.
+Users send requests to one machine at a steady rate, each on a new connection. Each request takes three
+seconds at its server. For 3.5 s there are 1.8 times as many users. The machine has 4,100 descriptors, the
+servers have slots for all, and no process and no link is in trouble.
 """
 
 import asyncio
-import signal
 import sys
+from collections import Counter
 from pathlib import Path
-from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 import stand_ins
 from stand_ins import Fleet, Record
 
-APPLY_S = 2.5
-PROXIES = 10
-CHANGE_INTERVAL_S = 0.08
-STREAM_S = 9.0
-MOVE_AT_S = 1.1  # when the change that moves the route is sent, from the start of the changes
-FREEZES = ((1.0, "edge-9"), (2.1, "edge-10"))  # when a machine stands still, and which
-FREEZE_S = 5.0
-REQUEST_INTERVAL_S = 0.1
+RATE_PER_S = 105
+BURST_X = 1.8
+BURST_AT_S = 5.0
+BURST_S = 3.5
+LENGTH_S = 16.0
+SERVERS = 10
+SLOTS = 120
+WORK_S = 3.0
+TIMEOUT_S = 5.0  # of the route
+DEADLINE_S = 7.0  # of the clients
+ANSWER_DUE_S = 0.5  # after the route's time-out, by the rule
+MIN_UNANSWERED = 8  # by the rule
+FRONT = "edge-4"
 
 
 class Case:
@@ -30,92 +35,55 @@
     def __init__(self, record: Record, has_trouble: bool) -> None:
         self.record = record
         self.has_trouble = has_trouble
-        self.fleet = Fleet(record, PROXIES)
-        self.version = 1
-        self.moved_at = 0.0  # time of the acknowledgement of the move; 0 before
-        self.moved_version = 0
-        self.late_old: list[str] = []
-        self.answers = 0
-        self.tries = 0
+        self.fleet = Fleet(record, 5, descriptors=4100)
+        self.answers: Counter[int] = Counter()
+        self.open_at_timeout = 0  # requests without an answer at the route's time-out
+        self.open_later = 0  # those of them without an answer ANSWER_DUE_S later
 
     async def run(self) -> int:
         """Run and judge."""
         fleet = self.fleet
-        fleet.add_server("old")
-        fleet.add_server("new")
-        routes = [stand_ins.route("moved", "/moved/", "old"), stand_ins.route("idle", "/idle/", "old")]
+        for _ in range(SERVERS):
+            fleet.add_server("reports", WORK_S, SLOTS)
+        route = stand_ins.route("report", "/report/", "reports", timeout_ms=int(TIMEOUT_S * 1000))
+        route["Target_time"] = "4000ms"
         try:
-            await fleet.start_all(stand_ins.configuration(routes, ["old", "new"]))
-            async with asyncio.TaskGroup() as tasks:
-                tasks.create_task(self._change())
-                if self.has_trouble:
-                    for at_s, name in FREEZES:
-                        tasks.create_task(self._freeze(at_s, name))
-                for name in fleet.names[:-2]:
-                    tasks.create_task(self._ask(name))
+            await fleet.start_all(stand_ins.configuration([route], ["reports"]))
+            await self._load()
         finally:
             fleet.close()
-        return self._judge()
-
-    async def _change(self) -> None:
-        loop = asyncio.get_running_loop()
-        start = loop.time()
-        number = 0
-        while loop.time() < start + STREAM_S:
-            number += 1
-            is_move = not self.moved_version and loop.time() >= start + MOVE_AT_S
-            changed = stand_ins.route("idle", "/idle/", "old", timeout_ms=2000 + number)
-            if is_move:
-                changed = stand_ins.route("moved", "/moved/", "new")
-            await self._send_change(changed, is_move)
-            await asyncio.sleep(max(0.0, start + number * CHANGE_INTERVAL_S - loop.time()))
-
-    async def _send_change(self, changed: dict[str, Any], is_move: bool) -> None:
-        version = self.version + 1
-        body = {"Ver": version, "Base": self.version,
-                "Upsert": {"Ports": [{"Vhost": "a.example", "Policy": [changed]}]}}  # fmt: skip
-        reply = await self.fleet.call_any("/-/rpc?call=conf.update", body)
-        what = f"{changed['Name']} to {changed['Action']}"
-        self.record.write(f"operator: version {version} on {self.version}: {what}: {reply.status}")
-        if reply.status == 200:
-            self.version = version
-            if is_move:
-                self.moved_at, self.moved_version = self.record.now(), version
-
-    async def _freeze(self, at_s: float, name: str) -> None:
-        await asyncio.sleep(at_s)
-        self.fleet.signal("proxy", name, signal.SIGSTOP)
-        await asyncio.sleep(FREEZE_S)
-        self.fleet.signal("proxy", name, signal.SIGCONT)
-
-    async def _ask(self, name: str) -> None:
-        loop = asyncio.get_running_loop()
-        until = loop.time() + STREAM_S
-        while loop.time() < until:
-            self.tries += 1
-            try_id = f"{name}-{self.tries}"
-            sent = self.record.now()
-            headers = {"Host": "a.example", "Try-Id": try_id, "Deadline-Ms": "2000"}
-            reply = await self.fleet.request(name, "GET", "/moved/x", headers)
-            service = reply.body.decode().split(" ")[0]
-            self.record.write(f"client: {try_id} sent at {sent:.3f} to {name}: {reply.status} {service}")
-            self.answers += reply.status == 200
-            if self.moved_at and sent > self.moved_at + APPLY_S and service == "old":
-                late_s = sent - self.moved_at
-                self.late_old.append(f"{try_id} sent {late_s:.2f} s after the acknowledgement ran at 'old'")
-            await asyncio.sleep(REQUEST_INTERVAL_S)
-
-    def _judge(self) -> int:
-        for line in self.late_old:
-            self.record.write(f"CONFIG broken: {line}")
         self.record.write(
-            f"result: version {self.moved_version} acknowledged at {self.moved_at:.3f};"
-            f" {self.answers} answers; {len(self.late_old)} run by the old service later than"
-            f" {APPLY_S} s after it"
+            f"result: answers by status, 0 for none: {dict(self.answers)}; open at the route's time-out:"
+            f" {self.open_at_timeout}; of these still open {ANSWER_DUE_S} s later: {self.open_later}"
         )
-        if not self.moved_version or not self.answers:
+        if self.answers[200] < RATE_PER_S:
             return stand_ins.NOT_RUN
-        return stand_ins.BROKEN if self.late_old else stand_ins.HELD
+        is_broken = self.open_later >= MIN_UNANSWERED and 2 * self.open_later > self.open_at_timeout
+        return stand_ins.BROKEN if is_broken else stand_ins.HELD
+
+    async def _load(self) -> None:
+        loop = asyncio.get_running_loop()
+        start, number = loop.time(), 0
+        due_s = 0.0
+        async with asyncio.TaskGroup() as tasks:
+            while due_s < LENGTH_S:
+                tasks.create_task(self._ask(number))
+                number += 1
+                in_burst = self.has_trouble and BURST_AT_S <= due_s < BURST_AT_S + BURST_S
+                due_s += 1 / (RATE_PER_S * (BURST_X if in_burst else 1.0))
+                await asyncio.sleep(max(0.0, start + due_s - loop.time()))
+
+    async def _ask(self, number: int) -> None:
+        try_id = f"try-{number}"
+        headers = {"Host": "a.example", "Try-Id": try_id, "Deadline-Ms": str(int(DEADLINE_S * 1000))}
+        sent = self.record.now()
+        reply = await self.fleet.request(FRONT, "GET", "/report/x", headers, timeout_s=DEADLINE_S)
+        took_s = self.record.now() - sent
+        self.answers[reply.status] += 1
+        self.open_at_timeout += took_s > TIMEOUT_S
+        self.open_later += took_s > TIMEOUT_S + ANSWER_DUE_S
+        answer = f"{reply.status} after {took_s:.2f} s" if reply.status else f"no answer in {took_s:.2f} s"
+        self.record.write(f"client: {try_id} sent at {sent:.3f}: {answer}")
 
 
 async def run(record: Record, has_trouble: bool) -> int:
