--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -258,15 +258,6 @@
         self.processes[role, name].send_signal(number)
         self.record.write(f"platform: {number.name} to {role} {name}")
 
-    def memory_mb(self, role: str, name: str) -> int:
-        """Return the memory in use by a process of this fleet, in MB; 0 if it has ended."""
-        try:
-            status = Path(f"/proc/{self.processes[role, name].pid}/status").read_text(encoding="utf-8")
-        except OSError:
-            return 0
-        sizes = [line.split()[1] for line in status.splitlines() if line.startswith("VmRSS:")]
-        return int(sizes[0]) // 1024 if sizes else 0
-
     async def ended(self, role: str, name: str, timeout_s: float) -> bool:
         """Wait until a process has ended; return whether it has."""
         process, until = self.processes[role, name], time.monotonic() + timeout_s
