Controller: a version that can't be decoded is refused before it is committed

Callers saw: after a change took the configuration over 8 MiB it got no answer; once all controllers had been killed, they ended at each start and no acknowledged version was read back.

Cause: the leader checked the size of the order, not of the version that results from it, and proposed what `decode` then refused on every controller. The error was no part of the state machine's contract, so it left `ConsensusDriver.step` in the middle, and `Controller.run` at the next start. Two more ways lead there: `conf.replace` writes numbers longer than they came (1e15), and a delta of many short pieces is larger than its text.

Change: the leader decodes each version as all controllers will and answers 413. A delta is not larger than its text. `apply` refuses a committed version over the limit, as the running controllers of earlier releases did in effect: changes that they acknowledged later are based on the version before it, so accepting it would lose them.

--- a/lapisgrade/gateway/configuration.py
+++ b/lapisgrade/gateway/configuration.py
@@ -18,7 +18,12 @@
 from lapisgrade.gateway.errors import ConfigurationError
 from lapisgrade.gateway.settings import Span, strict_converter, structure, wire_name
 
-MAX_BYTES = 8 * 1024 * 1024  # maximum size of one version; far above the planned use of a leader's memory
+# Maximum size of one version. Controllers decide by it whether a log entry has an effect, so another value
+# would change the meaning of logs on disk.
+MAX_BYTES = 8 * 1024 * 1024
+# Maximum size of a version that is read from a snapshot or the leader: earlier releases did not limit the
+# results of merged drafts, nor of all changes.
+MAX_STORED_BYTES = 8 * MAX_BYTES
 MAX_NAME_LENGTH = 256  # characters
 MAX_CACHED_ITEMS = 8192  # cache size for parsed items, for each of routes, tenants and services
 MAX_SHOWN_LENGTH = 100  # maximum number of characters of a name in a message
--- a/lapisgrade/gateway/configuration_delta.py
+++ b/lapisgrade/gateway/configuration_delta.py
@@ -4,6 +4,9 @@
 pieces between its items. A delta lists runs of pieces of the earlier text and the text of new pieces, and
 rebuilds the new text exactly, whatever fields the operator sent. A digest of the result detects a different
 base with the same version number. The encoded data is compressed (RFC 1950).
+
+A text that `decode` would refuse for its size must not be sent or stored. Whoever proposes a version calls
+`check_decodable` first, so that the limits are the reader's own, also those on the encoded form.
 """
 
 import zlib
@@ -12,7 +15,7 @@
 import msgspec
 
 from lapisgrade.gateway import configuration
-from lapisgrade.gateway.errors import ConfigurationError
+from lapisgrade.gateway.errors import ConfigurationError, OversizedVersionError
 
 PIECE_SEPARATOR = b"},{"
 FASTEST_LEVEL = 1  # zlib level; higher levels save a tenth of the bytes, but their processor time costs more
@@ -44,25 +47,31 @@
 
 
 def encode(version: int, text: bytes, base: int = 0, base_text: bytes = b"") -> EncodedVersion:
-    """Return a version encoded as a delta to `base`, or completely if there is no base."""
+    """Return a version encoded as a delta to `base`, or completely if there is no base.
+
+    The delta is not larger than one that contains the complete text as a single piece.
+    """
     plain = _make_delta(base_text, text) if base else text
     return EncodedVersion(version, base, digest_of(text), zlib.compress(plain, FASTEST_LEVEL))
 
 
-def decode(encoded: EncodedVersion, base_text: bytes = b"") -> bytes:
+def decode(
+    encoded: EncodedVersion, base_text: bytes = b"", max_bytes: int = configuration.MAX_BYTES
+) -> bytes:
     """Return the version's text.
 
+    Args:
+        encoded: The encoded version.
+        base_text: The text of the version `encoded.base`.
+        max_bytes: Maximum size of the text, with one separator, and of the uncompressed delta.
+
     Raises:
+        OversizedVersionError: The text or the delta is larger than `max_bytes`.
         ConfigurationError: The data is malformed, or is a delta to another base.
     """
     try:
-        inflate = zlib.decompressobj()
-        plain = inflate.decompress(encoded.data, configuration.MAX_BYTES)
-        if not inflate.eof:
-            raise ConfigurationError(
-                f"configuration version {encoded.version} is truncated or exceeds the size limit"
-            )
-        text = _apply_delta(base_text, plain) if encoded.base else plain
+        plain = _decompress(encoded, max_bytes)
+        text = _apply_delta(encoded.version, base_text, plain, max_bytes) if encoded.base else plain
     except (zlib.error, msgspec.MsgspecError, IndexError) as error:
         raise ConfigurationError(
             f"configuration version {encoded.version} can't be decoded: {error}"
@@ -74,6 +83,32 @@
     return text
 
 
+def check_decodable(encoded: EncodedVersion, text: bytes, base_text: bytes) -> None:
+    """Check that every process that has the base can decode the version to `text`.
+
+    Raises:
+        OversizedVersionError: The text or the delta is larger than `configuration.MAX_BYTES`.
+        ConfigurationError: The version can't be decoded.
+    """
+    if decode(encoded, base_text) != text:
+        raise ConfigurationError(f"configuration version {encoded.version} can't be encoded")
+
+
+def _oversized_error(version: int, max_bytes: int) -> OversizedVersionError:
+    return OversizedVersionError(f"configuration version {version} is larger than {max_bytes} bytes")
+
+
+def _decompress(encoded: EncodedVersion, max_bytes: int) -> bytes:
+    """Return the uncompressed data; raises zlib.error or ConfigurationError."""
+    inflate = zlib.decompressobj()
+    plain = inflate.decompress(encoded.data, max_bytes)
+    if inflate.unconsumed_tail:
+        raise _oversized_error(encoded.version, max_bytes)
+    if not inflate.eof:
+        raise ConfigurationError(f"configuration version {encoded.version} is truncated")
+    return plain
+
+
 def _make_delta(old: bytes, new: bytes) -> bytes:
     """Return the encoded operations that produce the new text from the old one."""
     old_pieces = old.split(PIECE_SEPARATOR)
@@ -92,14 +127,19 @@
             count = 0
     if count:
         operations.append((first, count))
-    return msgspec.msgpack.encode(operations)
+    delta = msgspec.msgpack.encode(operations)
+    if len(delta) <= len(new):
+        return delta
+    single_piece: list[Operation] = [new]
+    return msgspec.msgpack.encode(single_piece)
 
 
-def _apply_delta(old: bytes, delta: bytes) -> bytes:
+def _apply_delta(version: int, old: bytes, delta: bytes, max_bytes: int) -> bytes:
     """Return the new text.
 
     Raises:
-        IndexError: A run is outside the old text, or the new text exceeds `configuration.MAX_BYTES`.
+        IndexError: A run is outside the old text.
+        OversizedVersionError: The new text and one separator are larger than `max_bytes`.
         msgspec.MsgspecError: The operations can't be decoded.
     """
     old_pieces = old.split(PIECE_SEPARATOR)
@@ -108,8 +148,8 @@
     for operation in _OPERATIONS.decode(delta):
         part = [operation] if isinstance(operation, bytes) else _run_of(old_pieces, *operation)
         size += sum(map(len, part)) + len(part) * len(PIECE_SEPARATOR)
-        if size > configuration.MAX_BYTES:
-            raise IndexError("text exceeds the size limit of a configuration")
+        if size > max_bytes:
+            raise _oversized_error(version, max_bytes)
         pieces += part
     return PIECE_SEPARATOR.join(pieces)
 
--- a/lapisgrade/gateway/controller/change_validation.py
+++ b/lapisgrade/gateway/controller/change_validation.py
@@ -76,6 +76,14 @@
     return ValidatedChange(ApplyResult(HTTPStatus.OK), msgspec.json.encode(result), version)
 
 
+def oversized_result(size: int) -> ApplyResult:
+    """Return the result for a configuration of `size` bytes, which is more than is accepted."""
+    return ApplyResult(
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        f"the configuration would have {size} bytes, at most {configuration.MAX_BYTES} are accepted",
+    )
+
+
 def stale_base_error(state: State, base: int) -> LapisgradeError:
     """Return the error for a change whose base is not the newest version."""
     return _RefusedChangeError(
--- a/lapisgrade/gateway/controller/consensus_driver.py
+++ b/lapisgrade/gateway/controller/consensus_driver.py
@@ -289,6 +289,9 @@
         if entry.data:
             result = self._state_machine.apply(entry.index, entry.data)
             self._metrics.entries_applied += 1
+            if result.status == HTTPStatus.REQUEST_ENTITY_TOO_LARGE:  # of an earlier release
+                self._metrics.oversized_entries += 1
+                log.warning("log entry %d has no effect: %s", entry.index, result.reason)
             if result.changes_only_operations:
                 self._light_entries += 1
             else:
--- a/lapisgrade/gateway/controller/metrics.py
+++ b/lapisgrade/gateway/controller/metrics.py
@@ -13,6 +13,7 @@
         elections_won: Number of times this node became the established leader.
         membership_changes: Committed log entries that change the voters.
         entries_applied: Committed log entries with a command, applied to the state machine.
+        oversized_entries: Committed log entries of an earlier release that were too large to have an effect.
         commands_proposed: Commands that the leader proposed on its own, by type.
         changes_refused: Refused configuration changes, by call and HTTP status.
         disk_syncs: Successful writes to the log file.
@@ -36,6 +37,7 @@
     elections_won: int = 0
     membership_changes: int = 0
     entries_applied: int = 0
+    oversized_entries: int = 0
     commands_proposed: Counter[str] = msgspec.field(default_factory=Counter)
     changes_refused: Counter[str] = msgspec.field(default_factory=Counter)
     disk_syncs: int = 0
--- a/lapisgrade/gateway/controller/state.py
+++ b/lapisgrade/gateway/controller/state.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from lapisgrade.gateway.configuration import MAX_STORED_BYTES
 from lapisgrade.gateway.configuration_delta import EncodedVersion, decode, encode
 from lapisgrade.gateway.merge.three_way import Draft, MergeOutcome
 from lapisgrade.gateway.operations.table import OperationTable
@@ -155,17 +156,27 @@
 
 
 def decode_snapshot(data: bytes) -> State:
-    """Return the state in a snapshot; the initial state if `data` is empty."""
+    """Return the state in a snapshot; the initial state if `data` is empty.
+
+    Raises:
+        msgspec.MsgspecError: The snapshot has another structure.
+        ConfigurationError: A configuration in it can't be decoded.
+    """
     if not data:
         return State()
     if data[0] in _FIRST_BYTES_OF_MAPS:
         return _STATE_DECODER.decode(data)
     saved = _SAVED_STATE_DECODER.decode(data)
+
+    def decode_delta(encoded: EncodedVersion) -> bytes:
+        """Decode a configuration that is stored as a delta from the newest one."""
+        return decode(encoded, saved.configuration, MAX_STORED_BYTES)
+
     state = saved.state
     state.configuration = saved.configuration
-    state.active_configuration = decode(saved.active_configuration, saved.configuration)
-    state.merge_base = decode(saved.merge_base, saved.configuration)
+    state.active_configuration = decode_delta(saved.active_configuration)
+    state.merge_base = decode_delta(saved.merge_base)
     state.staged_versions = {
-        version: decode(encoded, saved.configuration) for version, encoded in saved.staged_versions.items()
+        version: decode_delta(encoded) for version, encoded in saved.staged_versions.items()
     }
     return state
--- a/lapisgrade/gateway/controller/state_machine.py
+++ b/lapisgrade/gateway/controller/state_machine.py
@@ -2,18 +2,23 @@
 
 A configuration change is validated here and nowhere else, against the newest version. The leader validates it
 once and proposes the resulting version (`prepare`). `apply` then only checks that the base of that version is
-still the newest version.
+still the newest version. Before it proposes a version, the leader decodes it as `apply` will.
+
+Earlier releases could also commit a version that is too large to be decoded. It had no effect in their
+running controllers, and changes that were acknowledged later are based on the version before it. `apply`
+refuses it.
 """
 
 from http import HTTPStatus
 
 import msgspec
 
-from lapisgrade.gateway.configuration_delta import decode, encode
+from lapisgrade.gateway.configuration_delta import check_decodable, decode, encode
 from lapisgrade.gateway.controller import draft_merging
 from lapisgrade.gateway.controller.change_validation import (
     ApplyResult,
     ValidatedChange,
+    oversized_result,
     stale_base_error,
     validate_change,
 )
@@ -30,7 +35,7 @@
     ServerSnapshot,
 )
 from lapisgrade.gateway.controller.state import State, decode_snapshot, encode_snapshot
-from lapisgrade.gateway.errors import UnreadableLogError
+from lapisgrade.gateway.errors import ConfigurationError, OversizedVersionError, UnreadableLogError
 from lapisgrade.gateway.merge.three_way import Draft, MergeOutcome
 from lapisgrade.gateway.quota.ownership import eligible_owners
 
@@ -74,7 +79,7 @@
         """Replace the state by that of a snapshot.
 
         Raises:
-            UnreadableLogError: A later release wrote the snapshot.
+            UnreadableLogError: A later release wrote the snapshot, or it is malformed.
         """
         try:
             self.state = decode_snapshot(data)
@@ -82,6 +87,8 @@
             raise UnreadableLogError(
                 f"cannot decode the log's snapshot, which a later release has written: {error}"
             ) from error
+        except ConfigurationError as error:
+            raise UnreadableLogError(f"cannot decode the log's snapshot: {error}") from error
 
     # ---- queries of the leader
 
@@ -90,12 +97,19 @@
         return validate_change(self.state, change)
 
     def prepare(self, change: ConfigurationChange) -> PreparedChange:
-        """Validate a change, and return the result and the command to propose for it."""
+        """Validate a change, and return the result and the command to propose for it.
+
+        The result is 413 if the version would be larger than all controllers and proxies accept.
+        """
         validated = self.validate(change)
-        if validated.configuration is None:
+        text, base_text = validated.configuration, self.state.configuration
+        if text is None:
             return PreparedChange(validated.result)
-        state = self.state
-        encoded = encode(validated.version, validated.configuration, state.version, state.configuration)
+        encoded = encode(validated.version, text, self.state.version, base_text)
+        try:
+            check_decodable(encoded, text, base_text)
+        except OversizedVersionError:
+            return PreparedChange(oversized_result(len(text)))
         return PreparedChange(validated.result, NewVersion(change.digest, encoded))
 
     def open_drafts(self) -> dict[str, tuple[Draft, MergeOutcome]]:
@@ -108,14 +122,15 @@
         """Apply an encoded command, the data of the log entry at `index`.
 
         Raises:
-            UnreadableLogError: A later release wrote the command; nothing was applied.
+            UnreadableLogError: A later release wrote the command, or it does not fit this state; nothing was
+                applied.
         """
         command = _decode_command(index, data)
         match command:
             case ConfigurationChange():
                 return self._apply_change(command)
             case NewVersion():
-                return self.apply_new_version(command)
+                return self._apply_new_version(index, command)
             case MergeDraft():
                 return draft_merging.merge_draft(self.state, command.draft)
             case CloseDraft():
@@ -145,14 +160,31 @@
             self.accept(validated.configuration, validated.version, change.digest)
         return validated.result
 
+    def _apply_new_version(self, index: int, command: NewVersion) -> ApplyResult:
+        try:
+            return self.apply_new_version(command)
+        except ConfigurationError as error:
+            raise UnreadableLogError(f"cannot apply log entry {index}: {error}") from error
+
     def apply_new_version(self, command: NewVersion) -> ApplyResult:
-        """Accept a version whose base is the newest version; 412 if another version was accepted first."""
+        """Accept a version whose base is the newest version.
+
+        Returns:
+            412 if another version was accepted first; 413 if the version is too large.
+
+        Raises:
+            ConfigurationError: The version can't be decoded on the newest version.
+        """
         state, encoded = self.state, command.encoded
         if state.applied_changes.get(encoded.version) == command.change_digest:
             return _OK  # a duplicate of an applied change
         if encoded.base != state.version:
             return ApplyResult(HTTPStatus.PRECONDITION_FAILED, str(stale_base_error(state, encoded.base)))
-        self.accept(decode(encoded, state.configuration), encoded.version, command.change_digest)
+        try:
+            text = decode(encoded, state.configuration)
+        except OversizedVersionError as error:
+            return ApplyResult(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, str(error))
+        self.accept(text, encoded.version, command.change_digest)
         return _OK
 
     def accept(self, configuration: bytes, version: int, change_digest: bytes) -> None:
--- a/lapisgrade/gateway/errors.py
+++ b/lapisgrade/gateway/errors.py
@@ -15,5 +15,9 @@
     """A configuration, a change or draft of one, or an encoded version is invalid."""
 
 
+class OversizedVersionError(ConfigurationError):
+    """A version of the configuration, encoded or not, is larger than the limit for it."""
+
+
 class UnreadableLogError(LapisgradeError):
-    """A controller's replicated log has entries of a later release, which this release can't decode."""
+    """A controller's replicated log has an entry or a snapshot that this release can't decode or apply."""
