Drafts: a merge that takes the configuration over its limit is not proposed

A peer's draft was also not checked for its size and values when it was handed to the leader.

Change: the leader merges a draft on trial first and refuses it with 409 if the result is over the limit or can't be read, so the draft stays on the disks that have it and is tried again. `merge_draft` still accepts any size: logs of earlier releases have later entries on top of such versions, and two drafts in flight may exceed the limit together. The refusal of each draft is logged once, also if two are refused in turn.

The two unit tests of the trial merge have nothing to call on.

--- a/lapisgrade/gateway/controller/drafts.py
+++ b/lapisgrade/gateway/controller/drafts.py
@@ -90,15 +90,15 @@
 
     async def _deliver_drafts(self, store: DraftStore) -> None:
         """Send the stored drafts to the leader at intervals, until all are committed."""
-        last_refused_id = ""  # so that consecutive refusals of one draft are logged once
+        refused_ids: set[str] = set()  # so that the refusal of each draft is logged once
         while store.drafts:
             await asyncio.sleep(DELIVERY_INTERVAL_S * (0.5 + self._random.random()))
             for draft in list(store.drafts.values()):
                 reply = await self._forward(DELIVER_DRAFT, "", msgspec.msgpack.encode(draft))
                 if reply.status == HTTPStatus.OK:
                     await self._remove(store, draft)
-                elif reply.status == HTTPStatus.CONFLICT and last_refused_id != draft.id:
-                    last_refused_id = draft.id
+                elif reply.status < HTTPStatus.INTERNAL_SERVER_ERROR and draft.id not in refused_ids:
+                    refused_ids.add(draft.id)
                     log.warning(
                         "leader rejected draft %s, kept on this disk: %s", draft.id, reply.body.decode()
                     )
--- a/lapisgrade/gateway/controller/leader_calls.py
+++ b/lapisgrade/gateway/controller/leader_calls.py
@@ -20,6 +20,7 @@
     encode_command,
 )
 from lapisgrade.gateway.controller.consensus_driver import ConsensusDriver
+from lapisgrade.gateway.controller.draft_merging import MAX_DRAFT_BYTES
 from lapisgrade.gateway.controller.refused_changes import RefusedChanges
 from lapisgrade.gateway.controller.replies import decode_draft_id, encode_error, encode_result
 from lapisgrade.gateway.controller.state_machine import StateMachine
@@ -161,7 +162,13 @@
         return ForwardCallReply(HTTPStatus.OK, msgspec.json.encode(drafts))
 
     async def _merge_draft(self, subject: str, body: bytes) -> ForwardCallReply:
-        return await self.commit(MergeDraft(_DRAFT_DECODER.decode(body)))
+        if len(body) > MAX_DRAFT_BYTES:
+            return encode_error(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the draft is too long")
+        draft = _DRAFT_DECODER.decode(body)
+        result = self._state_machine.check_draft(draft)
+        if result.status != HTTPStatus.OK:
+            return encode_result(result)
+        return await self.commit(MergeDraft(draft))
 
     async def _close_draft(self, subject: str, body: bytes) -> ForwardCallReply:
         return await self.commit(CloseDraft(decode_draft_id(body)))
--- a/lapisgrade/gateway/controller/state_machine.py
+++ b/lapisgrade/gateway/controller/state_machine.py
@@ -112,6 +112,10 @@
             return PreparedChange(oversized_result(len(text)))
         return PreparedChange(validated.result, NewVersion(change.digest, encoded))
 
+    def check_draft(self, draft: Draft) -> ApplyResult:
+        """Return 200 if a draft may be proposed, else the reason why not."""
+        return draft_merging.check_draft(self.state, draft)
+
     def open_drafts(self) -> dict[str, tuple[Draft, MergeOutcome]]:
         """Return the current drafts and the unresolved ones, with their merge outcomes, by draft id."""
         return draft_merging.open_drafts(self.state)
--- a/lapisgrade/gateway/proxy/version_rollout.py
+++ b/lapisgrade/gateway/proxy/version_rollout.py
@@ -69,7 +69,7 @@
 
     def _read(self, encoded: EncodedVersion) -> RouteTable:
         """Decode a version and store its text as the base of later deltas."""
-        text = decode(encoded, self._texts.get(encoded.base, b""))
+        text = decode(encoded, self._texts.get(encoded.base, b""), configuration.MAX_STORED_BYTES)
         table = RouteTable(configuration.read(msgspec.json.decode(text)))
         if table.version != encoded.version:
             raise ConfigurationError(
--- a/tests/gateway/controller/test_version_size.py
+++ b/tests/gateway/controller/test_version_size.py
@@ -7,6 +7,7 @@
 from http import HTTPStatus
 from pathlib import Path
 from random import Random
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -18,12 +19,23 @@
 from lapisgrade.gateway.configuration_delta import PIECE_SEPARATOR, check_decodable, decode, encode
 from lapisgrade.gateway.consensus.messages import Entry
 from lapisgrade.gateway.consensus.records import EntriesRecord, HardState, SnapshotRecord
-from lapisgrade.gateway.controller.commands import ConfigurationChange, NewVersion, encode_command
+from lapisgrade.gateway.controller.commands import (
+    Activate,
+    ConfigurationChange,
+    MergeDraft,
+    NewVersion,
+    encode_command,
+)
 from lapisgrade.gateway.controller.state import State
 from lapisgrade.gateway.controller.state_machine import PreparedChange, StateMachine
 from lapisgrade.gateway.errors import OversizedVersionError, UnreadableLogError
 from lapisgrade.gateway.http_client import send_request
 from lapisgrade.gateway.local_cluster import SAMPLE, LocalCluster
+from lapisgrade.gateway.merge.three_way import Draft, make_draft
+from lapisgrade.gateway.proxy.version_rollout import VersionRollout
+from lapisgrade.gateway.routing.route_table import RouteTable
+from lapisgrade.gateway.routing.route_versions import RouteVersions
+from lapisgrade.gateway.rpc_messages import WatchReply
 from lapisgrade.gateway.storage.log_store import LogStore
 
 MIB = 1024 * 1024
@@ -196,6 +208,47 @@
     assert report.history[1] == "entry 7, term 2: version 8 on 7 was accepted"
 
 
+def draft_of(state_machine: StateMachine, name: str, note_bytes: int) -> Draft:
+    """Return a draft that adds a service with a note of that size to the newest version."""
+    current = msgspec.json.decode(state_machine.state.configuration)
+    return make_draft(current, {"Upsert": {"Pools": [service(name, note_bytes)]}}, "amel", "m3")
+
+
+def test_a_draft_that_takes_the_configuration_over_the_limit_is_refused_before_it_is_proposed():
+    state_machine = state_machine_with(configuration.MAX_BYTES - 50_000)
+    before = state_machine.dump()
+    result = state_machine.check_draft(draft_of(state_machine, "added", 100_000))
+    assert result.status == HTTPStatus.CONFLICT  # with which a draft stays on the disk that has it
+    assert f"at most {configuration.MAX_BYTES} are accepted" in result.reason
+    assert state_machine.check_draft(draft_of(state_machine, "added", 10_000)).status == HTTPStatus.OK
+    assert state_machine.dump() == before
+
+
+def test_drafts_that_exceed_the_limit_together_are_read_back():
+    """Both are proposed before either is merged; earlier releases proposed any draft."""
+    state_machine, restored = state_machine_with(configuration.MAX_BYTES - 150_000), StateMachine()
+    drafts = [draft_of(state_machine, name, 100_000) for name in ("one", "other")]
+    assert [state_machine.check_draft(draft).status for draft in drafts] == [200, 200]
+    for index, draft in enumerate(drafts):
+        assert state_machine.apply(2 + index, encode_command(MergeDraft(draft))).status == HTTPStatus.OK
+    assert len(state_machine.state.configuration) > configuration.MAX_BYTES
+    restored.load(state_machine.dump())
+    assert restored.state == state_machine.state
+    restored.apply(4, encode_command(Activate(9)))
+    shrunk = restored.prepare(update(10, 9, service("noted", 1)))
+    assert restored.apply(5, encode_command(shrunk.command)).status == HTTPStatus.OK
+    assert restored.state.version == 10
+
+
+def test_a_proxy_reads_a_version_over_the_limit_that_an_earlier_release_stored():
+    text = msgspec.json.encode({**SAMPLE, "Ver": 2, "Pools": [{**SAMPLE["Pools"][0], "Note": "n" * 9 * MIB}]})
+    activated: list[RouteTable] = []
+    router = SimpleNamespace(route_versions=RouteVersions(), activate=activated.append)
+    rollout = VersionRollout(router, SimpleNamespace(apply_limits=lambda caps: None))
+    rollout.apply(WatchReply(True, active_version=2, active_configuration=encode(2, text)))
+    assert [table.version for table in activated] == [2]
+
+
 async def shown_configuration(cluster: LocalCluster) -> dict:
     """Return the newest configuration, once a controller answers."""
     async with asyncio.timeout(20.0):
@@ -224,3 +277,33 @@
         for name in cluster.voters:
             await cluster.start_controller(name)
         assert (await shown_configuration(cluster))["Ver"] == 2
+
+
+async def test_a_draft_over_the_limit_stays_on_its_disk_until_the_configuration_has_shrunk(
+    caplog: pytest.LogCaptureFixture,
+):
+    note = configuration.MAX_BYTES - len(msgspec.json.encode(SAMPLE)) - 50_000
+    large = {**SAMPLE, "Ver": 2, "Base": 1, "Pools": [*SAMPLE["Pools"], service("noted", note)]}
+    async with serving_cluster() as cluster:
+        while await cluster.put(large) != HTTPStatus.OK:
+            await asyncio.sleep(0.05)
+        await cluster.until(lambda: cluster.controllers["m3"].state_machine.state.version == 2)
+        for name in ("m1", "m2"):
+            await cluster.kill(cluster.controllers[name])
+        await cluster.until(lambda: not cluster.controllers["m3"].consensus.is_leader())
+        draft = {"By": "amel", "Base": 2, "Upsert": {"Pools": [service("added", 100_000)]}}
+        assert await cluster.put(draft, "conf.draft") == HTTPStatus.ACCEPTED
+        delivery = cluster.controllers["m3"].draft_delivery
+        for name in ("m1", "m2"):
+            await cluster.start_controller(name)
+        await cluster.until(lambda: cluster.controllers["m3"].node.leader)
+        await cluster.until(lambda: "leader rejected draft" in caplog.text)
+        assert len(delivery.stored()) == 1
+        assert (await shown_configuration(cluster))["Ver"] == 2
+        removal = {"Ver": 3, "Base": 2, "Del": {"Pools": ["noted"]}}
+        async with asyncio.timeout(20.0):
+            while await cluster.put(removal, "conf.update") != HTTPStatus.OK:
+                await asyncio.sleep(0.05)
+        await cluster.until(lambda: not delivery.stored())
+        shown = await shown_configuration(cluster)
+        assert (shown["Ver"], shown["Pools"][-1]["Name"]) == (4, "added")
