Control calls: values that can't be stored or read by every process are refused

Callers saw: conf.replace with a `Ver` of 2**64, a body of 1,900 nested lists, or a draft with such a number got no answer at all. A configuration nested 900 deep was acknowledged, and could not be read by a process whose stack was deeper than the leader's.

JSON has integers and nesting of any size; MessagePack has 64 bits, and the decoder's depth depends on the stack of its caller.

Change: `configuration_values` bounds depth (64 levels) and integers where a change, draft or heartbeat enters: 400 with the reason. A conflict shows a number that an earlier release accepted as text, so its logs can be compacted; a proxy that meets a version nested too deeply reports it.

--- a/lapisgrade/gateway/api.py
+++ b/lapisgrade/gateway/api.py
@@ -12,6 +12,7 @@
 from attrs import define, field
 
 from lapisgrade.gateway import configuration
+from lapisgrade.gateway.configuration_values import check_integer
 from lapisgrade.gateway.controller.draft_merging import MAX_DRAFT_BYTES
 from lapisgrade.gateway.errors import InvalidInputError
 from lapisgrade.gateway.registry import Server, ServerState
@@ -112,9 +113,11 @@
     """
     try:
         raw = msgspec.json.decode(body)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         raise InvalidInputError("the body is not JSON") from None
     heartbeat: Heartbeat = structure(_CONVERTER, raw, Heartbeat)
+    check_integer("Seq", heartbeat.seq)
+    check_integer("Slots", heartbeat.slots)
     return Server(
         id=server_id,
         service=heartbeat.svc,
--- a/lapisgrade/gateway/controller/change_validation.py
+++ b/lapisgrade/gateway/controller/change_validation.py
@@ -12,6 +12,7 @@
 
 from lapisgrade.errors import LapisgradeError
 from lapisgrade.gateway import configuration, configuration_change
+from lapisgrade.gateway.configuration_values import check_integer, check_values
 from lapisgrade.gateway.controller.commands import ConfigurationChange
 from lapisgrade.gateway.controller.state import State
 from lapisgrade.gateway.errors import InvalidInputError
@@ -76,6 +77,22 @@
     return ValidatedChange(ApplyResult(HTTPStatus.OK), msgspec.json.encode(result), version)
 
 
+def check_storable(change: ConfigurationChange) -> ApplyResult:
+    """Return 400 if a new change has values that can't be stored and read back, else 200.
+
+    Entries of earlier releases are not checked: what they changed stays valid.
+    """
+    try:
+        fields = _decode(change)
+        check_values(fields)
+        check_integer("Ver", _version_numbers(fields)[0])
+    except _RefusedChangeError as error:
+        return ApplyResult(error.status, str(error))
+    except InvalidInputError as error:
+        return ApplyResult(HTTPStatus.BAD_REQUEST, str(error))
+    return ApplyResult(HTTPStatus.OK)
+
+
 def oversized_result(size: int) -> ApplyResult:
     """Return the result for a configuration of `size` bytes, which is more than is accepted."""
     return ApplyResult(
--- a/lapisgrade/gateway/controller/draft_merging.py
+++ b/lapisgrade/gateway/controller/draft_merging.py
@@ -20,9 +20,10 @@
 import msgspec
 
 from lapisgrade.gateway import configuration
+from lapisgrade.gateway.configuration_values import check_values
 from lapisgrade.gateway.controller.change_validation import ApplyResult, oversized_result
 from lapisgrade.gateway.controller.state import State
-from lapisgrade.gateway.errors import ConfigurationError
+from lapisgrade.gateway.errors import InvalidInputError
 from lapisgrade.gateway.merge import three_way
 from lapisgrade.gateway.merge.fields import to_fields
 from lapisgrade.gateway.merge.three_way import Draft, MergeOutcome
@@ -103,8 +104,10 @@
     """Return 400 if proxies could not read the merged version: a peer's draft may have any values."""
     try:
         if merged.text is not None:
-            configuration.read(msgspec.json.decode(merged.text))
-    except (ConfigurationError, msgspec.MsgspecError):
+            merged_configuration = msgspec.json.decode(merged.text)
+            check_values(merged_configuration)
+            configuration.read(merged_configuration)
+    except (InvalidInputError, msgspec.MsgspecError, RecursionError):
         return ApplyResult(HTTPStatus.BAD_REQUEST, "not a draft")
     return ApplyResult(HTTPStatus.OK)
 
--- a/lapisgrade/gateway/controller/drafts.py
+++ b/lapisgrade/gateway/controller/drafts.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from lapisgrade.gateway import rpc_messages
+from lapisgrade.gateway.configuration_values import check_values
 from lapisgrade.gateway.controller.change_validation import ApplyResult
 from lapisgrade.gateway.controller.draft_merging import MAX_DRAFT_BYTES
 from lapisgrade.gateway.controller.leader_calls import DELIVER_DRAFT
@@ -145,7 +146,7 @@
         """
         try:
             draft = self._decode(body)
-        except msgspec.MsgspecError:
+        except (msgspec.MsgspecError, RecursionError):
             return encode_error(HTTPStatus.BAD_REQUEST, "the body is not whole JSON")
         except (InvalidInputError, KeyError, TypeError, AttributeError) as error:
             return encode_error(HTTPStatus.BAD_REQUEST, str(error))
@@ -166,6 +167,7 @@
         """
         state = self._state_machine.state
         edit = msgspec.json.decode(body)
+        check_values(edit)
         if not isinstance(edit, dict) or not isinstance(edit.get("By"), str):
             raise InvalidInputError("a draft is an object, and says By whom it is")
         if not state.configuration or not self._delivery.has_disk:
--- a/lapisgrade/gateway/controller/leader_calls.py
+++ b/lapisgrade/gateway/controller/leader_calls.py
@@ -85,7 +85,7 @@
             return await handler(subject, body)
         except InvalidInputError as error:
             return encode_error(HTTPStatus.BAD_REQUEST, str(error))
-        except msgspec.MsgspecError:
+        except (msgspec.MsgspecError, RecursionError):
             return encode_error(HTTPStatus.BAD_REQUEST, "not a draft")
 
     async def commit(self, command: LogCommand) -> ForwardCallReply:
--- a/lapisgrade/gateway/controller/replies.py
+++ b/lapisgrade/gateway/controller/replies.py
@@ -13,7 +13,7 @@
     """Return the draft id in the body of a call; raises InvalidInputError if there is none."""
     try:
         draft_id = msgspec.json.decode(body).get("Id")
-    except (msgspec.MsgspecError, AttributeError):
+    except (msgspec.MsgspecError, RecursionError, AttributeError):
         draft_id = None
     if not isinstance(draft_id, str):
         raise InvalidInputError("the call names no Id")
--- a/lapisgrade/gateway/controller/state_machine.py
+++ b/lapisgrade/gateway/controller/state_machine.py
@@ -18,6 +18,7 @@
 from lapisgrade.gateway.controller.change_validation import (
     ApplyResult,
     ValidatedChange,
+    check_storable,
     oversized_result,
     stale_base_error,
     validate_change,
@@ -101,6 +102,9 @@
 
         The result is 413 if the version would be larger than all controllers and proxies accept.
         """
+        storable = check_storable(change)
+        if storable.status != HTTPStatus.OK:
+            return PreparedChange(storable)
         validated = self.validate(change)
         text, base_text = validated.configuration, self.state.configuration
         if text is None:
--- a/lapisgrade/gateway/merge/three_way.py
+++ b/lapisgrade/gateway/merge/three_way.py
@@ -20,6 +20,7 @@
 
 from lapisgrade.gateway import configuration
 from lapisgrade.gateway.configuration_change import apply_change
+from lapisgrade.gateway.configuration_values import is_encodable
 from lapisgrade.gateway.errors import ConfigurationError, InvalidInputError
 from lapisgrade.gateway.merge import fields as merge_fields
 from lapisgrade.gateway.merge.conflicts import find_conflicts
@@ -109,6 +110,8 @@
         raise ConfigurationError("nothing would change")
     if len(changes) > MAX_CHANGES:
         raise ConfigurationError(f"{len(changes)} fields are too many for a draft")
+    if not is_encodable(changes):
+        raise ConfigurationError("a number of the changed fields has more than 64 bits")
     author = author[:MAX_AUTHOR_LENGTH]
     content = msgspec.json.encode((author, controller, base_version, changes), order="sorted")
     draft_id = blake2b(content, digest_size=ID_BYTES).hexdigest()
@@ -155,7 +158,12 @@
 def _make_conflict(fields: Fields, change: FieldChange, reason: str) -> MergeConflict:
     current = fields.get(change.path, REMOVED if change.was_present else ABSENT)
     wanted = change.new_value if change.is_present else REMOVED
-    return MergeConflict(change.path, current, wanted, reason)
+    return MergeConflict(change.path, _storable(current), wanted, reason)
+
+
+def _storable(value: Any) -> Any:
+    """Return a value, or its JSON if it has integers that can't be stored; earlier releases accepted them."""
+    return value if is_encodable(value) else msgspec.json.encode(value).decode()
 
 
 def _apply_field_change(fields: Fields, change: FieldChange) -> None:
--- a/lapisgrade/gateway/proxy/version_rollout.py
+++ b/lapisgrade/gateway/proxy/version_rollout.py
@@ -70,7 +70,12 @@
     def _read(self, encoded: EncodedVersion) -> RouteTable:
         """Decode a version and store its text as the base of later deltas."""
         text = decode(encoded, self._texts.get(encoded.base, b""), configuration.MAX_STORED_BYTES)
-        table = RouteTable(configuration.read(msgspec.json.decode(text)))
+        try:
+            table = RouteTable(configuration.read(msgspec.json.decode(text)))
+        except RecursionError:
+            raise ConfigurationError(
+                f"configuration version {encoded.version} is nested too deeply"
+            ) from None
         if table.version != encoded.version:
             raise ConfigurationError(
                 f"configuration version {encoded.version} is invalid: its field Ver is {table.version}"
