RPC: nothing is sent that its receiver refuses as longer than a frame

What would be seen: a proxy that starts while several large versions are staged never receives any of them; a list of servers over 16 MiB stops replication; a long reply that a follower forwards ends every other call on the connection, and the caller is told that no leader is known.

The receiver closes a connection at a frame over 16 MiB, and no sender looked at that limit: a watch reply holds up to nine versions.

Change: a reply holds as many versions as fit into 12 MiB, the proxy requests the rest on top of them; the leader does not append an entry over 12 MiB (413, or dropped and logged for its own commands); a reply that can't be forwarded is a 500 that says so, so callers try the leader; a longer message is dropped by its sender and logged, and the calls beside it are answered.

--- a/lapisgrade/gateway/consensus/replication.py
+++ b/lapisgrade/gateway/consensus/replication.py
@@ -19,6 +19,9 @@
 MAX_APPEND_BYTES = 256 * 1024
 """Size limit of the entries in one message; the entry that exceeds it is still included, as the last one."""
 
+MAX_ENTRY_BYTES = 12 * 1024 * 1024
+"""Size limit of an entry's data: with `MAX_APPEND_BYTES` of other entries it fits into one RPC frame."""
+
 RETRANSMIT_AFTER_US = 300_000
 """Time after which unacknowledged entries or chunks are sent again."""
 
--- a/lapisgrade/gateway/controller/call_forwarding.py
+++ b/lapisgrade/gateway/controller/call_forwarding.py
@@ -10,12 +10,14 @@
 from lapisgrade.gateway.controller.leader_discovery import LeaderDiscovery
 from lapisgrade.gateway.controller.replies import encode_error
 from lapisgrade.gateway.rpc import RpcEndpoint
+from lapisgrade.gateway.rpc_connection import MAX_FRAME_BYTES
 from lapisgrade.gateway.rpc_messages import ForwardCall, ForwardCallReply
 from lapisgrade.gateway.settings import parse_address
 
 LEADER_WAIT_S = 0.7  # maximum time that a call waits until a leader is known
 FORWARD_TIMEOUT_S = 0.9  # time-out of one forwarded call to the leader
 RETRY_INTERVAL_S = 0.03  # interval between attempts to find the leader
+MAX_FORWARDED_BYTES = MAX_FRAME_BYTES - 1024  # maximum size of a forwarded reply's body
 
 
 class CallForwarder:
@@ -64,7 +66,15 @@
         return None
 
     async def execute_as_leader(self, call: ForwardCall) -> ForwardCallReply:
-        """Execute a call that another controller forwarded; 503 if this one doesn't lead."""
+        """Execute a call that another controller forwarded; 503 if this one doesn't lead.
+
+        The reply is 500 if it would be too long for a frame; the caller then tries other controllers, among
+        them this one.
+        """
         if not self._consensus.is_leader():
             return ForwardCallReply(HTTPStatus.SERVICE_UNAVAILABLE)
-        return await self._leader_calls.execute(call.call, call.subject, call.body)
+        reply = await self._leader_calls.execute(call.call, call.subject, call.body)
+        if len(reply.body) > MAX_FORWARDED_BYTES:
+            message = f"{len(reply.body)} bytes are too many to be forwarded: call the leader itself"
+            return encode_error(HTTPStatus.INTERNAL_SERVER_ERROR, message)
+        return reply
--- a/lapisgrade/gateway/controller/configuration_feed.py
+++ b/lapisgrade/gateway/controller/configuration_feed.py
@@ -6,10 +6,13 @@
 
 from typing import Any
 
+from lapisgrade.gateway import rpc_connection
 from lapisgrade.gateway.configuration_delta import EncodedVersion, encode
 
 MAX_TEXTS = 12  # stored texts: those of all staged versions (MAX_STAGED_VERSIONS), and a few older ones
 MAX_ENCODED = 48  # cached deltas and full texts
+# Maximum size of the encoded versions in one reply. Three quarters of a frame: the rest is for the servers.
+MAX_REPLY_BYTES = rpc_connection.MAX_FRAME_BYTES * 3 // 4
 
 
 class ConfigurationFeed:
@@ -42,13 +45,24 @@
             _drop_oldest(self._encoded, MAX_ENCODED)
         return encoded
 
-    def chain(self, texts: dict[int, bytes], base: int) -> dict[int, EncodedVersion]:
-        """Return the versions in `texts` after `base`, in order, each as a delta from the previous one."""
-        encoded = {}
+    def chain(
+        self, texts: dict[int, bytes], base: int, max_bytes: int = MAX_REPLY_BYTES
+    ) -> dict[int, EncodedVersion]:
+        """Return the versions in `texts` after `base`, in order, each as a delta from the previous one.
+
+        The chain ends before its data exceeds `max_bytes`; the proxy requests the rest on top of it.
+        """
+        encoded: dict[int, EncodedVersion] = {}
+        size = 0
         for version, text in texts.items():
-            if version > base:
-                encoded[version] = self.version(version, text, base)
-                base = version
+            if version <= base:
+                continue
+            delta = self.version(version, text, base)
+            size += len(delta.data)
+            if size > max_bytes:
+                break
+            encoded[version] = delta
+            base = version
         return encoded
 
 
--- a/lapisgrade/gateway/controller/consensus_driver.py
+++ b/lapisgrade/gateway/controller/consensus_driver.py
@@ -29,14 +29,17 @@
 from lapisgrade.gateway.consensus.messages import Message as ConsensusMessage
 from lapisgrade.gateway.consensus.node import Node
 from lapisgrade.gateway.consensus.records import DurableWrite
+from lapisgrade.gateway.consensus.replication import MAX_ENTRY_BYTES
 from lapisgrade.gateway.controller.change_validation import ApplyResult
 from lapisgrade.gateway.controller.commands import LogCommand, encode_command
 from lapisgrade.gateway.controller.log_writer import LogWriter
 from lapisgrade.gateway.controller.metrics import ControllerMetrics
 from lapisgrade.gateway.controller.state_machine import StateMachine
 from lapisgrade.gateway.errors import UnreadableLogError
+from lapisgrade.net.rate_limited_log import RateLimitedLog
 
 log = logging.getLogger("controller")
+_oversized_log = RateLimitedLog("controller", log.error)
 
 COMMIT_TIMEOUT_S = 0.85  # time-out for committing a proposal; below call_forwarding.FORWARD_TIMEOUT_S
 MIN_TIMER_S = 0.0005  # minimum delay of the node's timer; an overdue timer must not starve the event loop
@@ -196,9 +199,12 @@
             announces_commit: As for `Node.propose`.
 
         Returns:
-            The state machine's result. None if this node doesn't lead, or if the command is not applied
-            within `COMMIT_TIMEOUT_S`; it may be applied later.
+            The state machine's result; 413 if the command is too large for an entry of the log. None if this
+            node doesn't lead, or if the command is not applied within `COMMIT_TIMEOUT_S`; it may be applied
+            later.
         """
+        if len(data) > MAX_ENTRY_BYTES:
+            return ApplyResult(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the change is too large for the log")
         position = self.started_node.propose(data, announces_commit)
         if position is None:
             return None
@@ -214,11 +220,19 @@
             self._pending_proposals.pop(position, None)
 
     def propose_all(self, commands: Iterable[LogCommand | None]) -> None:
-        """Propose the leader's own commands without waiting; the next `step` sends them."""
+        """Propose the leader's own commands without waiting; the next `step` sends them.
+
+        A command that is too large for an entry of the log is dropped and logged.
+        """
         for command in commands:
-            if command is not None:
-                self._metrics.commands_proposed[type(command).__name__] += 1
-                self.started_node.propose(encode_command(command))
+            if command is None:
+                continue
+            name, data = type(command).__name__, encode_command(command)
+            if len(data) > MAX_ENTRY_BYTES:
+                _oversized_log.write(f"dropped a command {name} of {len(data)} bytes")
+                continue
+            self._metrics.commands_proposed[name] += 1
+            self.started_node.propose(data)
 
     # ---- effects of the node
 
--- a/lapisgrade/gateway/controller/watch.py
+++ b/lapisgrade/gateway/controller/watch.py
@@ -20,7 +20,7 @@
 from lapisgrade.gateway import rpc_messages
 from lapisgrade.gateway.configuration_delta import EncodedVersion
 from lapisgrade.gateway.controller.commands import Activate, LiveProxies, ServerSnapshot
-from lapisgrade.gateway.controller.configuration_feed import ConfigurationFeed
+from lapisgrade.gateway.controller.configuration_feed import MAX_REPLY_BYTES, ConfigurationFeed
 from lapisgrade.gateway.controller.proxy_list_feed import ProxyListFeed
 from lapisgrade.gateway.controller.state import State
 from lapisgrade.gateway.controller.version_activation import ProxyStatus, VersionActivation
@@ -297,13 +297,14 @@
     def _missing_versions(
         self, request: rpc_messages.WatchRequest, state: State
     ) -> tuple[EncodedVersion | None, dict[int, EncodedVersion]]:
-        """Return the active version and the staged versions that the proxy lacks."""
+        """Return the active and staged versions that the proxy lacks, as many as one reply holds."""
         base = 0 if request.needs_full_version else _newest_version(request)
-        active = None
-        if state.active_version > base:
-            active = self.configuration_feed.version(state.active_version, state.active_configuration, base)
-            base = state.active_version
-        return active, self.configuration_feed.chain(state.staged_versions, base)
+        if state.active_version <= base:
+            return None, self.configuration_feed.chain(state.staged_versions, base)
+        active = self.configuration_feed.version(state.active_version, state.active_configuration, base)
+        remaining_bytes = MAX_REPLY_BYTES - len(active.data)
+        staged = self.configuration_feed.chain(state.staged_versions, state.active_version, remaining_bytes)
+        return active, staged
 
     def _servers(self, now_us: int, request: rpc_messages.WatchRequest, outdated: _Outdated) -> list[Server]:
         """Return the servers that are new or changed for the proxy."""
--- a/lapisgrade/gateway/rpc_connection.py
+++ b/lapisgrade/gateway/rpc_connection.py
@@ -33,6 +33,7 @@
 
 _ENCODED_NIL = msgspec.msgpack.encode(None)
 _unreadable_log = RateLimitedLog("rpc", log.warning)
+_oversized_log = RateLimitedLog("rpc", log.error)
 
 
 class UnreadableMessage(msgspec.Struct, frozen=True):
@@ -170,13 +171,23 @@
         self._on_close(self)
 
     def send(self, number: int, message: Any) -> bool:
-        """Write one frame; return False if the connection is closed or the peer does not read."""
+        """Write one frame; return False if the connection is closed or the peer does not read.
+
+        A message that is longer than the peer accepts is dropped and logged, as the peer would close the
+        connection. Its call times out.
+        """
         if self.transport is None or self.transport.is_closing():
             return False
         if self.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self.transport.abort()
             return False
-        self.transport.write(self._codec.encode(number, message))
+        frame = self._codec.encode(number, message)
+        if len(frame) - LENGTH_BYTES > MAX_FRAME_BYTES:
+            _oversized_log.write(
+                f"dropped a {type(message).__name__} of {len(frame)} bytes: too long to be sent"
+            )
+            return True
+        self.transport.write(frame)
         return True
 
     def refuse(self, number: int) -> bool:
--- a/tests/gateway/test_rpc.py
+++ b/tests/gateway/test_rpc.py
@@ -258,3 +258,17 @@
     assert "a message of another release" in line
     assert "\n" not in line
     assert len(line) < 3 * rpc_connection.MAX_LOGGED_CHARACTERS
+
+
+def test_a_message_too_long_for_a_frame_is_dropped_and_the_other_calls_are_answered(monkeypatch):
+    """The receiver closes the connection at such a frame, which fails every call on it."""
+    monkeypatch.setattr(rpc_connection, "MAX_FRAME_BYTES", 1000)
+
+    async def scenario(caller, callee, address):
+        await caller.call(address, Question("a"), TIMEOUT_S)
+        other = asyncio.ensure_future(caller.call(address, Question("b"), TIMEOUT_S))
+        caller.post(address, Question("a" * 2000))
+        assert await other == Success(Answer("B"))
+        assert callee.metrics.calls_received == 2
+
+    run(scenario)
