--- a/lapisgrade/gateway/controller/drafts.py
+++ b/lapisgrade/gateway/controller/drafts.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from lapisgrade.gateway import rpc_messages
+from lapisgrade.gateway.configuration_values import check_values
 from lapisgrade.gateway.controller.change_validation import ApplyResult
 from lapisgrade.gateway.controller.draft_merging import MAX_DRAFT_BYTES
 from lapisgrade.gateway.controller.leader_calls import DELIVER_DRAFT
@@ -90,15 +91,15 @@
 
     async def _deliver_drafts(self, store: DraftStore) -> None:
         """Send the stored drafts to the leader at intervals, until all are committed."""
-        last_refused_id = ""  # so that consecutive refusals of one draft are logged once
+        refused_ids: set[str] = set()  # so that the refusal of each draft is logged once
         while store.drafts:
             await asyncio.sleep(DELIVERY_INTERVAL_S * (0.5 + self._random.random()))
             for draft in list(store.drafts.values()):
                 reply = await self._forward(DELIVER_DRAFT, "", msgspec.msgpack.encode(draft))
                 if reply.status == HTTPStatus.OK:
                     await self._remove(store, draft)
-                elif reply.status == HTTPStatus.CONFLICT and last_refused_id != draft.id:
-                    last_refused_id = draft.id
+                elif reply.status < HTTPStatus.INTERNAL_SERVER_ERROR and draft.id not in refused_ids:
+                    refused_ids.add(draft.id)
                     log.warning(
                         "leader rejected draft %s, kept on this disk: %s", draft.id, reply.body.decode()
                     )
@@ -145,7 +146,7 @@
         """
         try:
             draft = self._decode(body)
-        except msgspec.MsgspecError:
+        except (msgspec.MsgspecError, RecursionError):
             return encode_error(HTTPStatus.BAD_REQUEST, "the body is not whole JSON")
         except (InvalidInputError, KeyError, TypeError, AttributeError) as error:
             return encode_error(HTTPStatus.BAD_REQUEST, str(error))
@@ -166,6 +167,7 @@
         """
         state = self._state_machine.state
         edit = msgspec.json.decode(body)
+        check_values(edit)
         if not isinstance(edit, dict) or not isinstance(edit.get("By"), str):
             raise InvalidInputError("a draft is an object, and says By whom it is")
         if not state.configuration or not self._delivery.has_disk:
