Check: `check conf` and `plan` report what the leader refuses for size, depth or integers

Operators saw "it can be taken" for a file of 9 MiB, which the leader answers with 413 (before: with no answer, or with an entry that no controller could apply).

Both commands now apply the leader's limits, with a hint on what to do. `MAX_TEXT_BYTES`, the largest text that can be decoded however it is encoded, stands once for drafts and for these.

Evidence: two tests of test_check fail without the change (the first at its first new case).

--- a/lapisgrade/gateway/cli/configuration_check.py
+++ b/lapisgrade/gateway/cli/configuration_check.py
@@ -14,6 +14,8 @@
 from lapisgrade.gateway.cli.operator_client import JsonObject
 from lapisgrade.gateway.configuration import Configuration, Mode, Rule, Tenant
 from lapisgrade.gateway.configuration_change import apply_change
+from lapisgrade.gateway.configuration_delta import MAX_TEXT_BYTES
+from lapisgrade.gateway.configuration_values import check_integer, check_values
 from lapisgrade.gateway.errors import InvalidInputError
 from lapisgrade.gateway.merge import fields as merge_fields
 from lapisgrade.gateway.settings import decode_object, wire_name
@@ -36,6 +38,9 @@
     ("is no mode", "Mode is idem for what may be repeated, keyed for what bears an Op-Key, else mutate"),
     ("not above", "Ver must increase with each change"),
     ("required field", "it can't be left out"),
+    ("are accepted", "remove or shorten items that are no longer needed"),
+    ("nested deeper", "flatten the field; no known field has more than a few levels"),
+    ("more than 64 bits", "write it as text, or as a smaller number"),
 )
 """Substrings of error messages, each with a hint on how to correct the error; the first match applies."""
 
@@ -161,12 +166,27 @@
         The errors, with hints on how to correct them, and the warnings, which are empty if there are errors.
     """
     try:
-        conf = configuration.read(read(text))
+        raw = read(text)
+        conf = configuration.read(raw)
+        _check_storable(raw)
     except InvalidInputError as error:
         return _errors_with_hints(error), []
     return [], find_warnings(conf, servers)[:MAX_LINES]
 
 
+def _check_storable(raw: JsonObject) -> None:
+    """Check what the leader checks beside the fields: the size, the nesting and the integers.
+
+    Raises:
+        InvalidInputError: The leader would refuse the configuration.
+    """
+    check_values(raw)
+    check_integer("Ver", raw["Ver"])
+    size = len(msgspec.json.encode({name: value for name, value in raw.items() if name != "Base"}))
+    if size > MAX_TEXT_BYTES:
+        raise InvalidInputError(f"the configuration has {size} bytes, at most {MAX_TEXT_BYTES} are accepted")
+
+
 def check_change(
     current: JsonObject, change: JsonObject, servers: JsonObject
 ) -> tuple[list[str], list[str], list[str]]:
@@ -186,6 +206,7 @@
         changed["Ver"] = current.get("Ver", 0) + 1
         changed.pop("Base", None)
         conf = configuration.read(changed)
+        _check_storable(changed)
     except (InvalidInputError, KeyError, TypeError, AttributeError) as error:
         return [], _errors_with_hints(error), []
     known_warnings = set(find_warnings(configuration.read(current), servers)) if current else set()
--- a/lapisgrade/gateway/configuration_delta.py
+++ b/lapisgrade/gateway/configuration_delta.py
@@ -20,6 +20,8 @@
 PIECE_SEPARATOR = b"},{"
 FASTEST_LEVEL = 1  # zlib level; higher levels save a tenth of the bytes, but their processor time costs more
 DIGEST_BYTES = 16
+# Maximum size of a text that can be decoded however it is encoded: alone, or as the only piece of a delta.
+MAX_TEXT_BYTES = configuration.MAX_BYTES - 64
 
 Operation = tuple[int, int] | bytes  # a run of the base's pieces (first, count), or a new piece
 _OPERATIONS = msgspec.msgpack.Decoder(list[Operation])
--- a/lapisgrade/gateway/controller/draft_merging.py
+++ b/lapisgrade/gateway/controller/draft_merging.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from lapisgrade.gateway import configuration
+from lapisgrade.gateway.configuration_delta import MAX_TEXT_BYTES
 from lapisgrade.gateway.configuration_values import check_values
 from lapisgrade.gateway.controller.change_validation import ApplyResult, oversized_result
 from lapisgrade.gateway.controller.state import State
@@ -30,8 +31,6 @@
 
 MAX_DRAFTS = 16  # drafts merged since the last acknowledged change or with conflicts; bounds the state
 MAX_DRAFT_BYTES = 128 * 1024  # maximum encoded size of one draft in the log
-# Maximum size of a version that results from merging; encoded, it must fit into `configuration.MAX_BYTES`.
-MAX_MERGED_BYTES = configuration.MAX_BYTES - 64
 MAX_KNOWN_IDS = 512  # ids of merged drafts that are stored to recognize late duplicates
 
 
@@ -59,7 +58,7 @@
     merged = _merge(state, draft)
     if isinstance(merged, ApplyResult):
         return merged
-    if merged.text is not None and len(merged.text) > MAX_MERGED_BYTES:
+    if merged.text is not None and len(merged.text) > MAX_TEXT_BYTES:
         return ApplyResult(HTTPStatus.CONFLICT, oversized_result(len(merged.text)).reason)
     return _check_readable(merged)
 
--- a/tests/gateway/cli/test_check.py
+++ b/tests/gateway/cli/test_check.py
@@ -1,6 +1,7 @@
 """`check conf`, `plan` and `loss`: errors with places and hints, warnings, changes and predictions."""
 
 import asyncio
+import functools
 
 import msgspec
 import pytest
@@ -56,6 +57,10 @@
     (lambda c, r: c.update(Ver=0), "Ver is 0, not above 0"),
     (lambda c, r: c["Caps"].update(Idle="0ms"), "Idle is 0, not above 0"),
     (lambda c, r: c["Ports"][0].pop("Vhost"), "Ports[0].Vhost"),
+    (lambda c, r: c.update(Note="n" * configuration.MAX_BYTES), "bytes, at most 8388544 are accepted"),
+    (lambda c, r: c.update(Note=functools.reduce(lambda x, _: [x], range(70), 1)), "nested deeper than 64"),
+    (lambda c, r: c.update(Note=2**64), "a number has more than 64 bits"),
+    (lambda c, r: c.update(Ver=2**63), "Ver is not between"),
 ]
 
 # Edits that leave the configuration valid, each with a part of the expected warning.
@@ -103,6 +108,13 @@
         assert expected in "\n".join(warnings)
 
 
+def test_a_change_that_the_leader_would_refuse_for_its_size_is_reported() -> None:
+    large = {**SAMPLE_CONFIGURATION, "Note": "n" * (configuration.MAX_BYTES - 5000)}
+    change = {"Upsert": {"Pools": [{"Name": "added", "Note": "n" * 6000}]}}
+    _, errors, _ = configuration_check.check_change(large, change, {})
+    assert "are accepted (remove or shorten items" in errors[0]
+
+
 def test_errors_have_a_hint_how_to_correct_them() -> None:
     errors, _ = configuration_check.check_text(
         edited_configuration(lambda c, r: action_of(r).update(Svc="nowhere"))
