Watch: a reply that leaves versions out does not confirm that the proxy missed none

Found by reading again, before it landed: a proxy that gets only the first of several large versions counted that reply as proof that it had missed none. The leader activates a version after 1.4 s on the ground that each proxy without it is in doubt by then; this one was not, and refused for good what others already accepted.

The proxy, and the laboratory's, don't count such a reply.

--- a/lapisgrade/gateway/controller/watch.py
+++ b/lapisgrade/gateway/controller/watch.py
@@ -292,6 +292,7 @@
             earlier_owners=self.proxy_lists.earlier_owners(now_us, state.previous_fencing_token)
             if is_unknown_list
             else [],
+            lacks_versions=max([_newest_version(request), state.active_version, *staged]) < state.version,
         )
 
     def _missing_versions(
--- a/lapisgrade/gateway/proxy/control_updates.py
+++ b/lapisgrade/gateway/proxy/control_updates.py
@@ -78,7 +78,8 @@
         members = self._quota_owner.on_watch_reply(now_us(), reply)
         if members is not None:
             self._apply_live_proxies(members)
-        if version_error is None and self._context.settings.hostname in self._quota_owner.proxies:
+        has_all_versions = version_error is None and not reply.lacks_versions
+        if has_all_versions and self._context.settings.hostname in self._quota_owner.proxies:
             # Only a reply to a member confirms that no version was missed: the leader does not wait for other
             # proxies before it activates a version.
             tables = self._router.route_versions
--- a/lapisgrade/gateway/rpc_messages.py
+++ b/lapisgrade/gateway/rpc_messages.py
@@ -128,6 +128,8 @@
         previous_owners: Owners of quota counts under the previous list, for a proxy that lacks that list.
         earlier_owners: The same for the lists before it, latest first, as far back as an owner may still act.
         live_proxies_delta: The current list as changes to the proxy's list, instead of `live_proxies`.
+        lacks_versions: Whether newer versions were left out because the reply would be too long; the proxy's
+            next request gets them. Until then the proxy may miss a version that others use.
     """
 
     is_leader: bool
@@ -151,6 +153,7 @@
     previous_owners: list[str] = []
     earlier_owners: list[tuple[str, ...]] = []
     live_proxies_delta: ProxyListDelta | None = None
+    lacks_versions: bool = False
 
     def updated_proxies(self, fencing_token: int, proxies: ProxiesByName) -> ProxiesByName | None:
         """Return the current list of live proxies, given the proxy's list and its fencing token.
--- a/lapisgrade/lab/explore/watch_proxy.py
+++ b/lapisgrade/lab/explore/watch_proxy.py
@@ -100,7 +100,8 @@
     def on_watch_reply(self, reply: rpc_messages.WatchReply, call: WatchCall) -> None:
         """Apply a reply once the proxy isn't frozen; the reply to an older request is ignored.
 
-        It confirms that the proxy has missed no version only if the proxy is in the list of live proxies.
+        It confirms that the proxy has missed no version only if the proxy is in the list of live proxies, and
+        the reply leaves no version out.
         """
         if self.world.sim.now < self.frozen_until_us:
             self.world.sim.at(self.frozen_until_us, self.on_watch_reply, reply, call)
@@ -111,7 +112,7 @@
         members = reply.updated_proxies(self.fencing_token, self.live_proxies)
         if members is not None:
             self.live_proxies = members
-        if self.name in self.live_proxies:
+        if self.name in self.live_proxies and not reply.lacks_versions:
             route_versions.confirmed_us = max(route_versions.confirmed_us, call.sent_us)
         if reply.active_configuration is not None and reply.active_version > self.active_version:
             self._activate(self._decode(reply.active_configuration))
--- a/tests/compatibility/samples.py
+++ b/tests/compatibility/samples.py
@@ -148,6 +148,7 @@
                 changed={"text-95": ("text-96", "text-97", "text-98")},
                 removed=["text-99", "text-100"],
             ),
+            lacks_versions=True,
         ),
         rpc_messages.Message,
     ),
--- a/tests/compatibility/test_encoded_messages.py
+++ b/tests/compatibility/test_encoded_messages.py
@@ -59,7 +59,10 @@
     saved = msgspec.structs.replace(
         saved, state=msgspec.structs.replace(saved.state, operations=OperationTable())
     )
-    for name, expected in (("state/state", state), ("state/saved-state", saved)):
+    reply = msgspec.structs.replace(current["rpc/watch-reply"].instance, lacks_versions=False)
+    earlier = {"state/state": state, "state/saved-state": saved, "rpc/watch-reply": reply}
+    assert sorted(earlier) == sorted(EARLIER)
+    for name, expected in earlier.items():
         assert msgspec.msgpack.decode(bytes.fromhex(EARLIER[name]), type=current[name].decoded_as) == expected
 
 
--- a/tests/gateway/controller/test_message_size.py
+++ b/tests/gateway/controller/test_message_size.py
@@ -74,6 +74,7 @@
         for version, encoded in reply.staged_versions.items():
             texts[version] = decode(encoded, texts[encoded.base])
         assert max(texts) > newest
+        assert reply.lacks_versions == (max(texts) < 7)
     assert {version: texts[version] for version in state.staged_versions} == state.staged_versions
 
 
