Drafts: a value that an earlier release accepted elsewhere does not block every later draft

Found by reading again before they landed: the trial merge looked at the values of the whole result, so one integer beyond 64 bits anywhere in a configuration of an earlier release made each draft "not a draft" for good. It looks at the draft's own values now, and still at whether the merged version can be read.

--- a/lapisgrade/gateway/configuration_values.py
+++ b/lapisgrade/gateway/configuration_values.py
@@ -46,7 +46,7 @@
 
 def _check_depth(value: Any) -> None:
     level = [value]
-    for _ in range(MAX_DEPTH + 1):
+    for _ in range(MAX_DEPTH):
         level = [child for parent in level for child in _children(parent)]
         if not level:
             return
--- a/lapisgrade/gateway/controller/draft_merging.py
+++ b/lapisgrade/gateway/controller/draft_merging.py
@@ -60,7 +60,7 @@
         return merged
     if merged.text is not None and len(merged.text) > MAX_TEXT_BYTES:
         return ApplyResult(HTTPStatus.CONFLICT, oversized_result(len(merged.text)).reason)
-    return _check_readable(merged)
+    return _check_readable(draft, merged)
 
 
 def merge_draft(state: State, draft: Draft) -> ApplyResult:
@@ -99,13 +99,12 @@
     return MergedDrafts(drafts, outcomes, text)
 
 
-def _check_readable(merged: MergedDrafts) -> ApplyResult:
+def _check_readable(draft: Draft, merged: MergedDrafts) -> ApplyResult:
     """Return 400 if proxies could not read the merged version: a peer's draft may have any values."""
     try:
+        check_values([change.new_value for change in draft.changes])
         if merged.text is not None:
-            merged_configuration = msgspec.json.decode(merged.text)
-            check_values(merged_configuration)
-            configuration.read(merged_configuration)
+            configuration.read(msgspec.json.decode(merged.text))
     except (InvalidInputError, msgspec.MsgspecError, RecursionError):
         return ApplyResult(HTTPStatus.BAD_REQUEST, "not a draft")
     return ApplyResult(HTTPStatus.OK)
