Laboratory: the four tables of fault scenarios are printed by one module

Each scenario ran its cases in a temporary folder by its seed, labelled violations and printed rows by itself; `lab/partitions/case_table` does it once, and each module keeps its titles and its row. The tables read as before (one case of each scenario by hand, and the tests of lab/partitions).

--- a/lapisgrade/lab/partitions/control.py
+++ b/lapisgrade/lab/partitions/control.py
@@ -8,9 +8,9 @@
 """
 
 import asyncio
+import functools
 import os
 import shutil
-import tempfile
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -20,6 +20,7 @@
 
 from lapisgrade.gateway.http_client import send_request
 from lapisgrade.gateway.settings import Address
+from lapisgrade.lab.partitions import case_table
 from lapisgrade.lab.partitions.fleet import Fleet
 from lapisgrade.lab.simulation.linearizability import UNANSWERED, Event, first_violation
 from lapisgrade.net.http import MalformedMessageError
@@ -32,6 +33,17 @@
 FINAL_STATUSES = (400, 409, 412, 413, 422)  # the change was rejected; after any other error it is retried
 FIRST_NETWORK, NETWORKS = 160, 40  # cases run in 127.160 to 127.199
 CALM_S = 0.5  # duration of the load before and after the fault
+TITLES = [
+    "case",
+    "seed",
+    "acknowledged",
+    "refused",
+    "unknown",
+    "reads",
+    "max latency s",
+    "catch-up s",
+    "violations",
+]
 
 
 @dataclass(slots=True)
@@ -365,18 +377,27 @@
         echo: Prints a line.
         scale: As for `run_case`.
     """
-    echo(
-        "| case | seed | acknowledged | refused | unknown | reads | max latency s | catch-up s | violations |"
-    )
-    echo("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+    case_table.print_header(TITLES, echo)
+    run_scaled = functools.partial(run_case, scale=scale)
     is_sound = True
     for turn, (name, seed) in enumerate((name, seed) for name in names for seed in seeds):
-        with tempfile.TemporaryDirectory() as folder:
-            result = await run_case(name, FIRST_NETWORK + turn % NETWORKS, folder, Random(seed), scale)
+        net = FIRST_NETWORK + turn % NETWORKS
+        result = await case_table.run_with_seed(run_scaled, name, seed, net)
         is_sound = is_sound and not result.violations
-        echo(
-            f"| {name} | {seed} | {result.acknowledged} | {result.refused} | {result.unknown_outcomes} | "
-            f"{result.reads} | {result.max_latency_s:.2f} | {result.catch_up_s:.2f} | "
-            f"{'; '.join(result.violations) or '-'} |"
-        )
+        case_table.print_row(_row(result, seed), echo)
     return is_sound
+
+
+def _row(result: CaseResult, seed: int) -> list[str]:
+    """Return the row of a run in the table."""
+    return [
+        result.case,
+        str(seed),
+        str(result.acknowledged),
+        str(result.refused),
+        str(result.unknown_outcomes),
+        str(result.reads),
+        f"{result.max_latency_s:.2f}",
+        f"{result.catch_up_s:.2f}",
+        "; ".join(result.violations) or "-",
+    ]
--- a/lapisgrade/lab/partitions/operations.py
+++ b/lapisgrade/lab/partitions/operations.py
@@ -8,13 +8,13 @@
 
 import asyncio
 import logging
-import tempfile
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 
 from lapisgrade.gateway.local_cluster import SAMPLE
+from lapisgrade.lab.partitions import case_table
 from lapisgrade.lab.partitions.fleet import Fleet
 from lapisgrade.lab.partitions.operation_clients import Client
 from lapisgrade.lab.partitions.operation_faults import (
@@ -41,6 +41,18 @@
 SLOTS = 16  # requests that a server runs at once, by default
 MAX_SHOWN = 10  # violations shown of one run
 FIRST_NETWORK, NETWORKS = 120, 100  # cases run in 127.120 to 127.219
+TITLES = [
+    "case",
+    "seed",
+    "faults",
+    "operations: attempts, served",
+    "look-ups, served",
+    "runs",
+    "statuses",
+    "max memory, descriptors",
+    "stalls",
+    "violations",
+]
 TENANTS = {"sfax": "key-of-sfax", "gabes": "key-of-gabes"}  # API keys by tenant
 
 
@@ -211,33 +223,37 @@
         echo: Prints a line.
     """
     echo(f"Mode {MODE}.")
-    echo("| case | seed | faults | operations: attempts, served | look-ups, served | runs "
-        "| statuses | max memory, descriptors | stalls | violations |")  # fmt: skip
-    echo("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+    case_table.print_header(TITLES, echo)
     violations: list[str] = []
     for case in cases:
         for seed in seeds:
-            with tempfile.TemporaryDirectory() as folder:
-                try:
-                    result = await run_case(case, FIRST_NETWORK + seed % NETWORKS, folder, Random(seed))
-                except TimeoutError:
-                    result = CaseResult(case, violations=["the fleet or its servers did not start in time"])
-            echo(_row(result, seed))
-            for violation in result.violations[:MAX_SHOWN]:
-                violations.append(f"{case}, seed {seed}: {violation}")
-                log.warning(violations[-1])  # at once, as later runs may be interrupted
+            try:
+                net = FIRST_NETWORK + seed % NETWORKS
+                result = await case_table.run_with_seed(run_case, case, seed, net)
+            except TimeoutError:
+                result = CaseResult(case, violations=["the fleet or its servers did not start in time"])
+            case_table.print_row(_row(result, seed), echo)
+            for violation in case_table.labelled_violations(case, seed, result)[:MAX_SHOWN]:
+                violations.append(violation)
+                log.warning(violation)  # at once, as later runs may be interrupted
     for violation in violations:
         echo(violation)
     return not violations
 
 
-def _row(result: CaseResult, seed: int) -> str:
+def _row(result: CaseResult, seed: int) -> list[str]:
     """Return the row of a run in the table."""
     statuses = Counter(each.status or each.end.name for each in result.operations)
     shown = ", ".join(f"{name} {count}" for name, count in statuses.most_common())
-    return (
-        f"| {result.case} | {seed} | {result.injected.total()} | {len(result.operations)}, "
-        f"{share_served(result.operations):.3f} | {len(result.lookups)}, {share_served(result.lookups):.3f} "
-        f"| {result.runs} | {shown} | {result.usage.resident_mb:.0f} MB, {result.usage.descriptors} "
-        f"| {result.stalls} | {len(result.violations)} |"
-    )
+    return [
+        result.case,
+        str(seed),
+        str(result.injected.total()),
+        f"{len(result.operations)}, {share_served(result.operations):.3f}",
+        f"{len(result.lookups)}, {share_served(result.lookups):.3f}",
+        str(result.runs),
+        shown,
+        f"{result.usage.resident_mb:.0f} MB, {result.usage.descriptors}",
+        str(result.stalls),
+        str(len(result.violations)),
+    ]
--- a/lapisgrade/lab/partitions/quota.py
+++ b/lapisgrade/lab/partitions/quota.py
@@ -10,7 +10,6 @@
 import asyncio
 import contextlib
 import signal
-import tempfile
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -24,6 +23,7 @@
 from lapisgrade.gateway.quota.count import LEASE_US
 from lapisgrade.gateway.quota.ownership import eligible_owners, owner_of
 from lapisgrade.gateway.settings import Slo
+from lapisgrade.lab.partitions import case_table
 from lapisgrade.lab.partitions.fleet import Fleet, RunCounter
 from lapisgrade.net.http import MalformedMessageError
 
@@ -36,6 +36,16 @@
 RESTART_DELAY_S = 0.2  # from the end of a killed proxy until its restart
 FIRST_NETWORK, NETWORKS = 120, 100  # cases run in 127.120 to 127.219
 SLO = Slo()  # the default limits of the settings
+TITLES = [
+    "case",
+    "runs",
+    "most in a window, median and max",
+    "share of the bound",
+    "share of the rate",
+    "tenant within its quota: requests",
+    "429",
+    "failed",
+]
 
 
 @dataclass(slots=True)
@@ -290,24 +300,30 @@
     bound = quota_bound(SLO, RATE, BURST)
     echo(f"Maximum number of runs in a window: {bound:g}.")
     echo("")
-    echo("| case | runs | most in a window, median and max | share of the bound | share of the rate "
-         "| tenant within its quota: requests | 429 | failed |")  # fmt: skip
-    echo("| --- | --- | --- | --- | --- | --- | --- | --- |")
+    case_table.print_header(TITLES, echo)
     violations: list[str] = []
     for case in cases:
         results = []
         for seed in seeds:
-            with tempfile.TemporaryDirectory() as folder:
-                results.append(await run_case(case, FIRST_NETWORK + seed % NETWORKS, folder, Random(seed)))
-            violations += [f"{case}, seed {seed}: {each}" for each in results[-1].violations]
-        worst = max(each.max_in_window for each in results)
-        echo(
-            f"| {case} | {len(results)} | {median(each.max_in_window for each in results):g}, {worst} "
-            f"| {worst / bound:.2f} | {median(each.rate_share for each in results):.2f} "
-            f"| {sum(each.calm_requests for each in results)} "
-            f"| {sum(each.calm_rejected for each in results)} "
-            f"| {sum(each.calm_failed for each in results)} |"
-        )
+            result = await case_table.run_with_seed(run_case, case, seed, FIRST_NETWORK + seed % NETWORKS)
+            results.append(result)
+            violations += case_table.labelled_violations(case, seed, result)
+        case_table.print_row(_row(case, results, bound), echo)
     for violation in violations:
         echo(violation)
     return not violations
+
+
+def _row(case: str, results: list[CaseResult], bound: float) -> list[str]:
+    """Return the row of a case in the table."""
+    worst = max(result.max_in_window for result in results)
+    return [
+        case,
+        str(len(results)),
+        f"{median(result.max_in_window for result in results):g}, {worst}",
+        f"{worst / bound:.2f}",
+        f"{median(result.rate_share for result in results):.2f}",
+        str(sum(result.calm_requests for result in results)),
+        str(sum(result.calm_rejected for result in results)),
+        str(sum(result.calm_failed for result in results)),
+    ]
--- a/lapisgrade/lab/partitions/rejoin.py
+++ b/lapisgrade/lab/partitions/rejoin.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import shutil
-import tempfile
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -26,6 +25,7 @@
 from lapisgrade.gateway.fake_server import FakeServer
 from lapisgrade.gateway.http_client import post_to_any, send_request
 from lapisgrade.gateway.local_cluster import HTTP_PORT, SAMPLE
+from lapisgrade.lab.partitions import case_table
 from lapisgrade.lab.partitions.fleet import POLL_INTERVAL_S, Fleet, RunCounter
 from lapisgrade.net.http import MalformedMessageError
 
@@ -35,6 +35,17 @@
 SECOND_PARTITION_S = 1.5  # duration of the second partition, in the case in which it recurs
 STEP_TIMEOUT_S = 20.0  # maximum duration of any step; a case that takes longer has failed
 FIRST_NETWORK, NETWORKS = 120, 100  # cases run in 127.120 to 127.219
+TITLES = [
+    "case",
+    "runs",
+    "time to merge, s: min, median, max",
+    "claims",
+    "rejected as not run",
+    "unknown",
+    "look-ups, p99 before and after, ms",
+    "failed",
+    "violations",
+]
 CLAIM_RULE = SAMPLE["Ports"][0]["Policy"][1]  # the claims' route
 AUTHORIZATION = f"Bearer {SAMPLE['Tenants'][0]['Apikeys'][0]}"
 NEW_SERVICE = "reparation"  # the service that the claims' route is moved to
@@ -476,37 +487,42 @@
         seeds: Seeds of the runs of each case.
         echo: Prints a line.
     """
-    echo("| case | runs | time to merge, s: min, median, max | claims | rejected as not run | unknown "
-         "| look-ups, p99 before and after, ms | failed | violations |")  # fmt: skip
-    echo("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+    case_table.print_header(TITLES, echo)
     violations: list[str] = []
     for case in cases:
         results = []
         for seed in seeds:
-            with tempfile.TemporaryDirectory() as folder:
-                try:
-                    results.append(
-                        await run_case(case, FIRST_NETWORK + seed % NETWORKS, folder, Random(seed))
-                    )
-                except TimeoutError:
-                    results.append(
-                        CaseResult(
-                            case,
-                            STEP_TIMEOUT_S,
-                            violations=[f"a step took longer than {STEP_TIMEOUT_S:g} s"],
-                        )
-                    )
-            violations += [f"{case}, seed {seed}: {each}" for each in results[-1].violations]
-        merge_s = [each.merge_s for each in results]
-        calm_ms, rejoin_ms = (median(getattr(each, name) * 1000 for each in results)
-                       for name in ("calm_p99_s", "rejoin_p99_s"))  # fmt: skip
-        echo(
-            f"| {case} | {len(results)} | {min(merge_s):.2f}, {median(merge_s):.2f}, {max(merge_s):.2f} "
-            f"| {sum(each.claims for each in results)} | {sum(each.rejected for each in results)} "
-            f"| {sum(each.unknown_outcomes for each in results)} | {calm_ms:.0f}, {rejoin_ms:.0f} "
-            f"| {sum(each.urgent_failed for each in results)} "
-            f"| {sum(len(each.violations) for each in results)} |"
-        )
+            result = await _run_in_time(case, seed)
+            results.append(result)
+            violations += case_table.labelled_violations(case, seed, result)
+        case_table.print_row(_row(case, results), echo)
     for violation in violations:
         echo(violation)
     return not violations
+
+
+async def _run_in_time(case: str, seed: int) -> CaseResult:
+    """Run a case; a step that takes too long is a violation."""
+    try:
+        return await case_table.run_with_seed(run_case, case, seed, FIRST_NETWORK + seed % NETWORKS)
+    except TimeoutError:
+        violation = f"a step took longer than {STEP_TIMEOUT_S:g} s"
+        return CaseResult(case, STEP_TIMEOUT_S, violations=[violation])
+
+
+def _row(case: str, results: list[CaseResult]) -> list[str]:
+    """Return the row of a case in the table."""
+    merge_s = [result.merge_s for result in results]
+    calm_ms = median(result.calm_p99_s * 1000 for result in results)
+    rejoin_ms = median(result.rejoin_p99_s * 1000 for result in results)
+    return [
+        case,
+        str(len(results)),
+        f"{min(merge_s):.2f}, {median(merge_s):.2f}, {max(merge_s):.2f}",
+        str(sum(result.claims for result in results)),
+        str(sum(result.rejected for result in results)),
+        str(sum(result.unknown_outcomes for result in results)),
+        f"{calm_ms:.0f}, {rejoin_ms:.0f}",
+        str(sum(result.urgent_failed for result in results)),
+        str(sum(len(result.violations) for result in results)),
+    ]
