--- a/lapisgrade/gateway/cli/disk_report.py
+++ b/lapisgrade/gateway/cli/disk_report.py
@@ -25,14 +25,13 @@
     ServerLeaving,
     ServerSnapshot,
 )
-from lapisgrade.gateway.controller.state_machine import StateMachine
+from lapisgrade.gateway.controller.state_machine import StateMachine, decode_command
 from lapisgrade.gateway.errors import InvalidInputError
 from lapisgrade.gateway.merge.three_way import describe_draft
 from lapisgrade.gateway.storage.draft_store import read_drafts
 from lapisgrade.gateway.storage.log_store import CorruptLogError, LogStore
 
 _RECORD_DECODER = msgspec.msgpack.Decoder(Record)
-_COMMAND_DECODER = msgspec.msgpack.Decoder(LogCommand)
 
 
 class DiskReport:
@@ -58,7 +57,8 @@
         Raises:
             InvalidInputError: The folder does not exist, its log is corrupt or has no complete generation, or
                 its drafts can't be read.
-            UnreadableLogError: A later release wrote the snapshot of the log.
+            UnreadableLogError: A later release wrote the log's snapshot or an entry, or an entry does not fit
+                the state before it.
         """
         if not os.path.isdir(folder):
             raise InvalidInputError(f"{folder}: no such folder")
@@ -114,7 +114,7 @@
 
     def _apply_command(self, entry: Entry) -> None:
         """Apply an entry, and describe its effect without API keys and addresses."""
-        command, state = _COMMAND_DECODER.decode(entry.data), self.state_machine.state
+        command, state = decode_command(entry.index, entry.data), self.state_machine.state
         old_version, old_configuration = state.version, state.configuration
         result = self.state_machine.apply(entry.index, entry.data)
         self._add_history(entry, _describe_command(command, result, old_version, state.version))
--- a/lapisgrade/gateway/controller/state_machine.py
+++ b/lapisgrade/gateway/controller/state_machine.py
@@ -47,7 +47,12 @@
 _COMMAND_DECODER = msgspec.msgpack.Decoder(LogCommand)
 
 
-def _decode_command(index: int, data: bytes) -> LogCommand:
+def decode_command(index: int, data: bytes) -> LogCommand:
+    """Return the command in the log entry at `index`.
+
+    Raises:
+        UnreadableLogError: A later release wrote the command.
+    """
     try:
         return _COMMAND_DECODER.decode(data)
     except msgspec.MsgspecError as error:
@@ -133,7 +138,7 @@
             UnreadableLogError: A later release wrote the command, or it does not fit this state; nothing was
                 applied.
         """
-        command = _decode_command(index, data)
+        command = decode_command(index, data)
         match command:
             case ConfigurationChange():
                 return self._apply_change(command)
--- a/tests/gateway/cli/test_dump.py
+++ b/tests/gateway/cli/test_dump.py
@@ -8,7 +8,9 @@
 import pytest
 from support.sample_configuration import SAMPLE_CONFIGURATION
 
+from lapisgrade.gateway import __main__ as gateway_main
 from lapisgrade.gateway.cli.disk_report import DiskReport
+from lapisgrade.gateway.cli.exit_codes import ExitCode
 from lapisgrade.gateway.consensus.messages import Entry
 from lapisgrade.gateway.consensus.records import EntriesRecord, HardState, Record, SnapshotRecord
 from lapisgrade.gateway.controller.commands import (
@@ -121,3 +123,18 @@
         file.write(bytes([byte[0] ^ 1]))
     with pytest.raises(InvalidInputError):
         DiskReport(stored_log.folder)
+
+
+def test_an_entry_of_a_later_release_is_named_in_one_line(
+    stored_log: StoredLog, caplog: pytest.LogCaptureFixture
+) -> None:
+    log_store = LogStore(stored_log.folder)
+    records = [msgspec.msgpack.decode(each, type=Record) for each in log_store.recover()]
+    later = Entry(4, 2, msgspec.msgpack.encode(["?", 1]))
+    entries = [*records[0].entries, *records[2].entries, later]
+    log_store.start_generation(msgspec.msgpack.encode(msgspec.structs.replace(records[0], entries=entries)))
+    log_store.close()
+    assert gateway_main.main(["dump", stored_log.folder]) == ExitCode.UNREADABLE_LOG
+    assert [message.partition(":")[0] for message in caplog.messages] == [
+        "cannot decode log entry 4, which a later release has written"
+    ]
