--- a/lapisgrade/gateway/controller/draft_merging.py
+++ b/lapisgrade/gateway/controller/draft_merging.py
@@ -53,7 +53,7 @@
 
     Returns:
         200 if it may, or if it is merged already; 409 if the result would be larger than a configuration may
-        be; otherwise the status with which `merge_draft` refuses the draft.
+        be; 400 if proxies could not read it; otherwise the status with which `merge_draft` refuses the draft.
     """
     merged = _merge(state, draft)
     if isinstance(merged, ApplyResult):
