--- a/review/loopback_site.py
+++ b/review/loopback_site.py
@@ -8,8 +8,10 @@
 import asyncio
 import contextlib
 import json
+import math
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -23,7 +25,7 @@
 from typing import Any
 
 ROOT = Path(__file__).resolve().parent.parent
-CORE = 3  # machines with a disk and a controller
+ZONES = ("sfax-usine", "sfax-port", "sfax-siege")
 HOST = "ficu95.example"
 SLO = {
     "PeerLag": "3s", "Reuse": "2s", "Contact": "3000ms", "Ack": "5000ms", "Sync": "4s", "Drain": "2500ms",
@@ -189,9 +191,10 @@
     async def beat(self) -> int:
         """Send one heartbeat; return the status of its answer."""
         self.sequence += 1
+        zone = ZONES[int(self.address[0].rpartition(".")[2]) % len(ZONES)]
         beat = {
-            "Svc": self.service, "Addr": f"{self.address[0]}:{self.address[1]}", "Az": "sfax-usine",
-            "Ver": "v1", "Slots": self.slots, "State": self.state, "Warmup_time": "0ms", "Seq": self.sequence,
+            "Svc": self.service, "Addr": f"{self.address[0]}:{self.address[1]}", "Az": zone, "Ver": "v1",
+            "Slots": self.slots, "State": self.state, "Warmup_time": "0ms", "Seq": self.sequence,
         }  # fmt: skip
         answer = await self.site.call(f"servers.heartbeat&of={self.identity}", beat, rounds=1)
         self.acknowledged = self.acknowledged or answer.status == 200
@@ -248,10 +251,35 @@
 class Site:
     """Machines on loopback with their processes; `async with` ends all that was started."""
 
-    def __init__(self, record: Record, machines: int) -> None:
+    def __init__(
+        self,
+        record: Record,
+        machines: int,
+        disks_per_zone: int = 1,
+        nodes: int = 1,
+        slo: dict[str, Any] = SLO,
+    ) -> None:
+        """Start nothing yet.
+
+        Args:
+            record: Where events are written.
+            machines: Number of machines, spread over the zones in turn.
+            disks_per_zone: How many of the first machines of each zone have a disk.
+            nodes: How many of those may be lost at once (`Faults`).
+            slo: The bounds that the processes are told.
+        """
         self.record = record
+        self.nodes = nodes
+        self.slo = slo
         self.runs: list[Run] = []
         self.names = [f"edge-{number}" for number in range(1, machines + 1)]
+        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+        self.roles = deploy["roles"]
+        per_zone = [self.names[zone :: len(ZONES)] for zone in range(len(ZONES))]
+        self.with_disk = {name for zone in per_zone for name in zone[:disks_per_zone]}
+        share = self.roles["controller"]["share"]
+        # As the page DEPLOY says: from the start of each zone's machines, the share rounded up.
+        self.controllers = [name for zone in per_zone for name in zone[: math.ceil(share * len(zone))]]
         self.processes: dict[tuple[str, str], subprocess.Popen[bytes]] = {}
         self.servers: list[Server] = []
         self._folder = tempfile.TemporaryDirectory(prefix="case-")
@@ -292,27 +320,39 @@
     def settings(self, name: str, role: str) -> dict[str, Any]:
         """Return the settings of a process, as the page DEPLOY has them."""
         ip, ports = self.addresses[name], self.ports
-        has_disk = name in self.names[:CORE]
+        has_disk, zone = name in self.with_disk, self.zone_of(name)
         serves = {"proxy": ["Http", "Readyz"], "controller": ["Ctl"]}[role]
         return {
-            "Hostname": name, "Role": role, "Size": "edge", "Ip": ip, "Az": "sfax-usine", "Rgn": "sfax",
-            "Serves": ["edge"] if role == "proxy" else ["ctl"], "Zones": {"sfax-usine": "sfax"},
+            "Hostname": name, "Role": role, "Size": "edge", "Ip": ip, "Az": zone, "Rgn": "sfax",
+            "Serves": ["edge"] if role == "proxy" else ["ctl"], "Zones": dict.fromkeys(ZONES, "sfax"),
             "Bind": {each: f"{ip}:{ports[each]}" for each in serves},
             "Portrange": [ports["first"], ports["first"] + 15],
-            "Peers": [f"{self.addresses[each]}:{ports['Ctl']}" for each in self.names[:CORE]],
+            "Peers": [f"{self.addresses[each]}:{ports['Ctl']}" for each in self.controllers[:3]],
             "Bootstrap": self._bootstrap, "Quorum": has_disk,
             "Caps": {"Cpu": 0.86, "Ncpu": 1, "MemMb": 300, "Nofile": 4100, "NetMbps": 1000.0, "DiskMb": 64},
-            "Datadir": os.path.join(self._folder.name, name) if role == "controller" else None,
+            "Datadir": self.datadir(name) if role == "controller" and has_disk else None,
             "Discovery": "registry", "Entry": "vip", "Heartbeat": "1300ms",
-            "Faults": {"Nodes": 1, "Zones": 0, "Regions": 0}, "Slo": SLO,
+            "Faults": {"Nodes": self.nodes, "Zones": 0, "Regions": 0}, "Slo": self.slo,
         }  # fmt: skip
 
+    def zone_of(self, name: str) -> str:
+        """Return a machine's zone."""
+        return ZONES[self.names.index(name) % len(ZONES)]
+
+    def datadir(self, name: str) -> str:
+        """Return the folder that stands for a machine's disk."""
+        return os.path.join(self._folder.name, name)
+
+    def wipe(self, name: str) -> None:
+        """Empty a machine's disk; its controller must have ended."""
+        shutil.rmtree(self.datadir(name))
+        self.record.write(f"the disk of {name} is lost")
+
     def start(self, name: str, role: str) -> None:
         """Start a machine's process of a role, with the command of the deploy file."""
         path = os.path.join(self._folder.name, f"{name}-{role}.json")
         Path(path).write_text(json.dumps(self.settings(name, role)))
-        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
-        command = deploy["roles"][role]["run"].split()
+        command = self.roles[role]["run"].split()
         command[0] = sys.executable if command[0] == "python3" else command[0]
         environment = {
             "PATH": os.environ.get("PATH", ""),
@@ -336,7 +376,7 @@
     async def start_all(self) -> None:
         """Start the whole site for the first time."""
         for name in self.names:
-            if name in self.names[:CORE]:
+            if name in self.controllers:
                 self.start(name, "controller")
             self.start(name, "proxy")
         await self.until(self._is_leader_there, 20, "no leader")
@@ -387,9 +427,9 @@
             f"Content-Length: {len(text)}\r\nConnection: close\r\n\r\n"
         )
         answer = Answer(0, {}, b"")
-        for attempt in range(rounds * CORE):
+        for attempt in range(rounds * len(self.controllers)):
             self._calls += 1
-            controller = self.addresses[self.names[self._calls % CORE]]
+            controller = self.addresses[self.controllers[self._calls % len(self.controllers)]]
             connection = Connection((controller, self.ports["Ctl"]))
             answer = await connection.exchange(head, text, 1)
             connection.close()
