--- a/lapisgrade/gateway/cli/operator_client.py
+++ b/lapisgrade/gateway/cli/operator_client.py
@@ -102,11 +102,13 @@
             await asyncio.sleep(POLL_INTERVAL_S)
 
     async def print_status(self) -> ExitCode:
-        """Print the newest and active version, lagging proxies, servers per service, and operation keys."""
+        """Print the versions, missing voters, lagging proxies, servers per service, and operation keys."""
         _, status = await self.fetch_newest()
         self._print_line(f"newest version {status['Newest']}, in force {status['InForce']}")
         for line in refusal_lines(status):
             self._print_line(f"  {line}")
+        for line in voter_lines(status):
+            self._print_line(f"  {line}")
         for line in lagging_proxies(status, status["Newest"]):
             self._print_line(f"  {line}")
         for service, servers in sorted(status["Servers"].items()):
@@ -128,6 +130,22 @@
     return lines
 
 
+def voter_lines(status: JsonObject) -> list[str]:
+    """Describe voters that can't tolerate the losses in `Faults`; earlier releases don't report it."""
+    faults = status.get("Faults")
+    if not faults:
+        return []
+    lines = []
+    if not faults["Sufficient"]:
+        lines.append(
+            f"{len(status['Voters'])} voters, {faults['Needed']} are needed: a loss that Faults allows "
+            "leaves no majority, and what was acknowledged can't be read"
+        )
+    if faults["WithoutVoter"]:
+        lines.append(f"machines with a disk but without a voter: {', '.join(faults['WithoutVoter'])}")
+    return lines
+
+
 def lagging_proxies(status: JsonObject, version: int) -> list[str]:
     """Describe the proxies at which the version is not active yet, with their progress."""
     return [_lagging_proxy(proxy, version) for proxy in status["Proxies"] if proxy["InForce"] < version]
--- a/lapisgrade/gateway/controller/leader_calls.py
+++ b/lapisgrade/gateway/controller/leader_calls.py
@@ -21,6 +21,7 @@
 )
 from lapisgrade.gateway.controller.consensus_driver import ConsensusDriver
 from lapisgrade.gateway.controller.draft_merging import MAX_DRAFT_BYTES
+from lapisgrade.gateway.controller.quorum_monitor import QuorumMonitor
 from lapisgrade.gateway.controller.refused_changes import RefusedChanges
 from lapisgrade.gateway.controller.replies import decode_draft_id, encode_error, encode_result
 from lapisgrade.gateway.controller.state_machine import StateMachine
@@ -49,6 +50,7 @@
         state_machine: StateMachine,
         watch_service: WatchService,
         refused_changes: RefusedChanges,
+        quorum_monitor: QuorumMonitor,
         own_address: Address,
         clock: Callable[[], int],
     ) -> None:
@@ -57,6 +59,7 @@
         self._consensus = consensus
         self._state_machine = state_machine
         self._refused_changes = refused_changes
+        self._quorum_monitor = quorum_monitor
         self._own_address = own_address
         self.clock = clock
         self._handlers: dict[str, CallHandler] = {
@@ -142,7 +145,7 @@
         return ForwardCallReply(HTTPStatus.OK, msgspec.json.encode(report))
 
     def _voter_status(self) -> dict[str, object]:
-        """Return the fields of `conf.status` on the leader, its term and the voters."""
+        """Return the fields of `conf.status` on the leader, its term, the voters and what they tolerate."""
         node, now_us = self._consensus.started_node, self.clock()
         last_contact_us = {name: follower.last_contact_us for name, follower in node.followers.items()}
         last_contact_us[node.identity] = now_us
@@ -150,7 +153,12 @@
             {"Id": name, "At": address, "HeardMs": (now_us - last_contact_us.get(name, 0)) // 1000}
             for name, address in sorted(node.voters.items())
         ]
-        return {"Leader": str(self._own_address), "Term": node.term, "Voters": voters}
+        return {
+            "Leader": str(self._own_address),
+            "Term": node.term,
+            "Voters": voters,
+            "Faults": self._quorum_monitor.status(),
+        }
 
     # ---- drafts
 
--- a/lapisgrade/gateway/controller/metrics.py
+++ b/lapisgrade/gateway/controller/metrics.py
@@ -12,6 +12,8 @@
     Attributes:
         elections_won: Number of times this node became the established leader.
         membership_changes: Committed log entries that change the voters.
+        insufficient_voters: Number of times this leader warned that the voters can't tolerate the losses in
+            `Faults`.
         entries_applied: Committed log entries with a command, applied to the state machine.
         oversized_entries: Committed log entries of an earlier release that were too large to have an effect.
         commands_proposed: Commands that the leader proposed on its own, by type.
@@ -36,6 +38,7 @@
 
     elections_won: int = 0
     membership_changes: int = 0
+    insufficient_voters: int = 0
     entries_applied: int = 0
     oversized_entries: int = 0
     commands_proposed: Counter[str] = msgspec.field(default_factory=Counter)
--- a/lapisgrade/gateway/controller/server.py
+++ b/lapisgrade/gateway/controller/server.py
@@ -34,6 +34,7 @@
 from lapisgrade.gateway.controller.log_writer import LogWriter
 from lapisgrade.gateway.controller.metrics import ControllerMetrics
 from lapisgrade.gateway.controller.operation_claims import OperationClaims
+from lapisgrade.gateway.controller.quorum_monitor import QuorumMonitor
 from lapisgrade.gateway.controller.refused_changes import RefusedChanges
 from lapisgrade.gateway.controller.state_machine import StateMachine
 from lapisgrade.gateway.controller.watch import Watch
@@ -144,11 +145,15 @@
         self.watch_service = WatchService(
             self.watch, self.consensus, discovery, self.state_machine, clock, self.metrics
         )
+        self.quorum_monitor = QuorumMonitor(
+            self.consensus, self._current_settings, lambda: self.watch.proxies, clock, self.metrics
+        )
         leader_calls = LeaderCalls(
             self.consensus,
             self.state_machine,
             self.watch_service,
             RefusedChanges(self.metrics, RateLimitedLog("controller", log.warning).write),
+            self.quorum_monitor,
             self._own_address,
             clock,
         )
@@ -241,6 +246,7 @@
         tasks = [
             loop.create_task(log_writer.run()),
             loop.create_task(self.membership.run_join_requests()),
+            loop.create_task(self.quorum_monitor.run()),
         ]
         await storage.draft_store.load()
         self.draft_delivery.start()
--- a/lapisgrade/gateway/settings.py
+++ b/lapisgrade/gateway/settings.py
@@ -6,12 +6,12 @@
 
 import os
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import cattrs
 import msgspec
-from attrs import define, fields, has
+from attrs import define, field, fields, has
 from cattrs.gen import make_dict_structure_fn, override
 from cattrs.v import format_exception
 
@@ -96,6 +96,21 @@
     key_win: Span = Span(60_000_000)
 
 
+@define(frozen=True, slots=True)
+class Faults:
+    """The losses at one time that the deployment must tolerate: some machines, or zones, or regions.
+
+    Attributes:
+        nodes: Number of machines whose `quorum` is set.
+        zones: Number of failure domains.
+        regions: Number of regions.
+    """
+
+    nodes: int = 0
+    zones: int = 0
+    regions: int = 0
+
+
 @define(frozen=True, slots=True)
 class Settings:
     """The settings of a process.
@@ -108,11 +123,13 @@
         portrange: The first and last port for connections between the gateway's processes.
         peers: Control addresses of the initial controllers.
         bootstrap: Whether this process may bootstrap a new cluster.
-        quorum: Whether a controller runs on this machine.
+        quorum: Whether this machine counts for `faults`; its controller has a disk and votes.
         datadir: Folder of a controller's log; empty if it has no disk.
         heartbeat: The interval between a server's heartbeats.
         caps: Resources of the machine.
         slo: Service level objectives.
+        faults: The losses that must be tolerated.
+        zones: The region of each failure domain.
     """
 
     hostname: str
@@ -127,6 +144,8 @@
     heartbeat: Span = Span(1_500_000)
     caps: Caps = Caps()
     slo: Slo = Slo()
+    faults: Faults = Faults()
+    zones: Mapping[str, str] = field(factory=dict)
 
     def internal_address(self, role_number: int) -> Address:
         """Return the address at which the process of the role listens for the gateway's own processes."""
--- a/tests/compatibility/test_recovery.py
+++ b/tests/compatibility/test_recovery.py
@@ -26,7 +26,7 @@
 STORED = json.loads((DATA / "dump" / "m3-conf.txt").read_text().partition("\n")[2])
 STATUS_KEYS = [
     *("Newest", "InForce", "EverAccepted", "LastRefused"),
-    *("Proxies", "Servers", "Leader", "Term", "Voters", "Operations"),
+    *("Proxies", "Servers", "Leader", "Term", "Voters", "Faults", "Operations"),
 ]
 PROXY_KEYS = ["Name", "Az", "At", "Life", "Core", "Leaving", "Held", "InForce", "HeardMs"]
 STORED_DRAFT_KEYS = ["Id", "By", "At", "Base", "State", "Fields"]
--- a/tests/gateway/cli/test_commands.py
+++ b/tests/gateway/cli/test_commands.py
@@ -114,7 +114,7 @@
     async with serving_cluster() as site:
         control_option = f"--ctl={site.ip['m1']}:{CONTROL_PORT}"
         versions = {"Newest", "InForce", "EverAccepted", "LastRefused"}
-        status = versions | {"Proxies", "Servers", "Leader", "Term", "Voters", "Operations"}
+        status = versions | {"Proxies", "Servers", "Leader", "Term", "Voters", "Faults", "Operations"}
         for command, keys in (("status", status), ("drafts", {"Leader", "Newest", "Drafts"})):
             arguments = (sys.executable, "-m", "lapisgrade.gateway", command, control_option, "--json")
             process = await asyncio.create_subprocess_exec(*arguments, stdout=asyncio.subprocess.PIPE)
