A controller without a disk finds the leader after its seeds lost their disks

Callers saw: 503 'no leader is known' from such a controller, for good, once the machines in its settings had been exchanged for others without a disk and the leader had changed.

Cause: it asked only the controllers in its settings who leads, and those may know no more than itself. Change: it remembers up to 64 voters that others reported, asks these too, and names them to proxies. Evidence: the test failed before (TimeoutError after 10 s), passes after.

--- a/lapisgrade/gateway/controller/leader_discovery.py
+++ b/lapisgrade/gateway/controller/leader_discovery.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from random import Random
 
@@ -15,8 +16,9 @@
 from lapisgrade.gateway.consensus.messages import Message as ConsensusMessage
 from lapisgrade.gateway.controller.consensus_driver import ConsensusDriver
 from lapisgrade.gateway.rpc import RpcEndpoint
-from lapisgrade.gateway.settings import Address, Settings
+from lapisgrade.gateway.settings import Address, Settings, parse_address
 
+MAX_KNOWN_VOTERS = 64  # maximum number of voters remembered by a controller without a disk
 DISCOVERY_TIMEOUT_S = 0.2  # time-out of a query for the leader's address
 JOIN_INTERVAL_S = 0.3  # average interval between join requests
 LEAVE_TIMEOUT_S = 0.6  # maximum time that a node waits at shutdown to be removed from the voters
@@ -39,7 +41,9 @@
         self._settings = settings
         self._random = random
         self._own_address = settings().internal_address(0)
-        self._leader_hint = ""  # leader's address reported by a peer; used only while there is no node
+        # Reported by other controllers; used only while there is no node.
+        self._leader_hint = ""
+        self._known_voters: list[Address] = []
 
     def remote_leader_address(self) -> str:
         """Return the leader's address; empty if it is unknown, or is this controller's own."""
@@ -48,18 +52,35 @@
         return leader if leader != str(self._own_address) else ""
 
     async def discover_leader(self) -> None:
-        """Query another controller for the leader, if this one has no node."""
+        """Query another controller for the leader, if this one has no node.
+
+        Those in the settings may have no disk either, and then know no more than this one.
+        """
         if self._consensus.node is not None:
             return
         controllers = [Address((peer[0], self._own_address[1])) for peer in self._settings().peers]
-        others = [address for address in controllers if address != self._own_address]
-        address = self._random.choice(others or [self._own_address])
+        others = {address for address in (*controllers, *self._known_voters) if address != self._own_address}
+        address = self._random.choice(sorted(others) or [self._own_address])
         # Without a proxy's name, so that a leader does not record this controller as a proxy.
         request = rpc_messages.WatchRequest("", "", "", "", 0, "", 0, 0)
         result = await self._rpc.call(address, request, DISCOVERY_TIMEOUT_S)
         reply = result.value_or(None)
         if isinstance(reply, rpc_messages.WatchReply):
             self._leader_hint = str(address) if reply.is_leader else reply.leader_address
+            self._known_voters = _parse_addresses(reply.controllers) or self._known_voters
+
+    def known_voters(self) -> list[str]:
+        """Return the addresses of the voters that another controller reported; empty if there is a node."""
+        return [str(address) for address in self._known_voters] if self._consensus.node is None else []
+
+
+def _parse_addresses(texts: list[str]) -> list[Address]:
+    """Return up to `MAX_KNOWN_VOTERS` of the addresses, without those that are invalid."""
+    addresses = []
+    for text in texts[:MAX_KNOWN_VOTERS]:
+        with contextlib.suppress(ValueError):
+            addresses.append(parse_address(text))
+    return addresses
 
 
 class ClusterMembership:
--- a/lapisgrade/gateway/controller/watch_service.py
+++ b/lapisgrade/gateway/controller/watch_service.py
@@ -79,7 +79,8 @@
     def _redirect(self) -> rpc_messages.WatchReply:
         """Return the leader's address, empty if unknown here, and the addresses of the voters."""
         leader = self._discovery.remote_leader_address()
-        return rpc_messages.WatchReply(False, leader, self._consensus.voter_addresses())
+        voters = self._consensus.voter_addresses() or self._discovery.known_voters()
+        return rpc_messages.WatchReply(False, leader, voters)
 
     def _unchanged(self, request: rpc_messages.WatchRequest) -> rpc_messages.WatchReply:
         return self.watch.unchanged_reply(
--- a/tests/gateway/controller/test_voters.py
+++ b/tests/gateway/controller/test_voters.py
@@ -178,3 +178,20 @@
             await site.until(
                 lambda: {host for name in ("m1", "m3", "m4") for host in site.voter_hosts(name)} == with_disk
             )
+
+
+# Guards against a controller without a disk that finds no leader once its seeds have none either.
+async def test_a_controller_without_a_disk_follows_the_leader_after_its_seeds_lost_theirs() -> None:
+    with reserve_loopback_network() as network:
+        async with CustomCluster({}, ("m4", "m5"), machines=5, voters=5, net=network.number) as site:
+            await site.put_until_acknowledged(SAMPLE)
+            await site.until_voters(3)
+            caller = site.controllers["m4"]
+            assert (await caller.forwarder.forward("conf.show", "", b"")).status == 200
+            seeds = (Address((site.ip["m4"], CONTROL_PORT)), Address((site.ip["m5"], CONTROL_PORT)))
+            caller.reload(attrs.evolve(caller.settings, peers=seeds))
+            leader = next(each for each in site.controllers.values() if each.consensus.is_leader())
+            await site.kill(leader)
+            async with asyncio.timeout(10.0):
+                while (await caller.forwarder.forward("conf.show", "", b"")).status != 200:
+                    await asyncio.sleep(0.02)
