A request from before a change doesn't bring its tenant's old quota back

Callers would see: a tenant's quota stays the old one at a proxy until its next change.

Cause: a request takes its tenant over when it is matched. Change: a new client gets the active version's limit.

--- a/lapisgrade/gateway/routing/router.py
+++ b/lapisgrade/gateway/routing/router.py
@@ -152,9 +152,15 @@
         return retry_budget
 
     def quota_client(self, tenant: Tenant) -> QuotaClient:
-        """Return the client of a tenant's quota and mark it as the most recently used."""
+        """Return the client of a tenant's quota and mark it as the most recently used.
+
+        A new client gets the active limit: `tenant` may be of the version before, under which a request was
+        matched, and `activate` has changed only the clients that existed.
+        """
         quota_client = self.quota_clients.pop(tenant.name, None)
         if quota_client is None:
+            active = self.route_versions.active
+            tenant = active.tenants.get(tenant.name, tenant) if active is not None else tenant
             quota_client = QuotaClient(self.clock, tenant, self.slo, self.proxy_count, self.started_us)
         self.quota_clients[tenant.name] = quota_client
         if len(self.quota_clients) > MAX_QUOTA_CLIENTS:
