Changed limits hold for the next request of kept connections

Cause: the parser of the next request was made when the last answer was written or the connection accepted, with the limits of that moment. The same cause elsewhere: HdrBytes (431); the timer of a partial request; bytes that wait behind an open request, whose bound counted no heads; an idle time-out that is lowered closed connections which had rested as they were allowed to; and before the first configuration the defaults denied what the configuration allows.

Change: limits are one immutable record at the listener. A connection looks it up at the first byte of each request and at each chunk; what is in progress gets the larger of both limits. Without a configuration, a request that is too large gets 503 and a time to come back, as others do.

A test of the listener that set two attributes sets the record instead.

--- a/lapisgrade/gateway/proxy/client_front.py
+++ b/lapisgrade/gateway/proxy/client_front.py
@@ -14,10 +14,13 @@
 from lapisgrade.gateway.routing.router import Router
 from lapisgrade.net.client_connection import ClientConnection
 from lapisgrade.net.client_listener import ClientListener
+from lapisgrade.net.close_reason import CloseReason
 from lapisgrade.net.http import MAX_HEAD_BYTES, MalformedMessageError
 from lapisgrade.net.http import Message as HttpMessage
+from lapisgrade.net.request_limits import RequestLimits
 
-NOT_YET_ACTIVE_RETRY_S = 0.2  # Retry-After while proxies may differ on the active version
+NOT_YET_ACTIVE_RETRY_AFTER = b"Retry-After: 0.2\r\n"  # while proxies may differ on the active version
+TOO_LARGE_STATUSES = (HTTPStatus.REQUEST_ENTITY_TOO_LARGE, HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 MAX_REQUEST_ID_BYTES = 256
 MAX_DEADLINE_DIGITS = 9  # a longer Deadline-Ms header is ignored
 MIN_REQUEST_TIME_US = 1_000  # every request gets at least this time until its deadline
@@ -45,11 +48,26 @@
         self._router = router
 
     def apply_limits(self, caps: Caps) -> None:
-        """Apply the limits of the active version to connections and requests."""
-        self.idle_timeout_s = caps.idle / SECOND + IDLE_GRACE_S
-        self.request_timeout_s = max(caps.hdr / SECOND, MIN_HEADER_TIMEOUT_S) + REQUEST_GRACE_S
-        self.max_body_bytes = caps.body_bytes
-        self.max_head_bytes = min(max(caps.hdr_bytes, MAX_HEAD_BYTES), HEAD_BYTES_LIMIT)
+        """Apply the limits of the active version: to requests from now on, and larger ones to all."""
+        self.limits = RequestLimits(
+            max_body_bytes=caps.body_bytes,
+            max_head_bytes=min(max(caps.hdr_bytes, MAX_HEAD_BYTES), HEAD_BYTES_LIMIT),
+            request_timeout_s=max(caps.hdr / SECOND, MIN_HEADER_TIMEOUT_S) + REQUEST_GRACE_S,
+            idle_timeout_s=caps.idle / SECOND + IDLE_GRACE_S,
+        )
+
+    def reject_malformed(self, client: ClientConnection, error: MalformedMessageError) -> None:
+        """Answer an invalid request; one that is too large for a limit that isn't known yet may come back."""
+        is_too_large = error.status in TOO_LARGE_STATUSES
+        if self._router.route_versions.active is not None or not is_too_large:
+            return super().reject_malformed(client, error)
+        self._metrics.requests_not_yet_active += 1
+        client.respond_at_once(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            NOT_YET_ACTIVE_RETRY_AFTER,
+            close=True,
+            reason=CloseReason.REJECTED,
+        )
 
     def parse_request(self, client: ClientConnection, message: HttpMessage) -> RoutedRequest | None:
         """Return the request to route, or None if it was rejected.
@@ -62,9 +80,8 @@
         match_result = self._match(now_us, message.head.target, headers)
         if match_result == HTTPStatus.SERVICE_UNAVAILABLE:
             self._metrics.requests_not_yet_active += 1
-            retry_after = b"Retry-After: %.1f\r\n" % NOT_YET_ACTIVE_RETRY_S
             client.respond_at_once(
-                HTTPStatus.SERVICE_UNAVAILABLE, retry_after, close=message.closes_connection
+                HTTPStatus.SERVICE_UNAVAILABLE, NOT_YET_ACTIVE_RETRY_AFTER, close=message.closes_connection
             )
             return None
         if isinstance(match_result, HTTPStatus):
--- a/lapisgrade/net/client_connection.py
+++ b/lapisgrade/net/client_connection.py
@@ -21,11 +21,13 @@
 from lapisgrade.net.connection import READ_BYTES
 from lapisgrade.net.events import ClientDisconnected, RequestReceived
 from lapisgrade.net.http import MAX_BODY_BYTES, MalformedMessageError, Message, MessageParser
+from lapisgrade.net.request_limits import RequestLimits
 
 if TYPE_CHECKING:
     from lapisgrade.net.client_listener import ClientListener
 
 MAX_UNREAD_BYTES = 4 * MAX_BODY_BYTES  # maximum size of responses buffered for a client that does not read
+MAX_PIPELINED_REQUESTS = 2  # of the maximum size; bytes beyond that end the connection
 _OK = 200
 _REQUEST_TIMEOUT = 408
 _SERVICE_UNAVAILABLE = 503
@@ -51,9 +53,12 @@
         "_operation",
         "_parser",
         "_pipelined",
+        "_pipelined_limits",
+        "_receiving_since_s",
         "_request_timer",
         "_writer",
         "is_over_limit",
+        "limits",
         "state",
     )
 
@@ -61,13 +66,18 @@
         """Create the connection of an accepted socket; `run` reads it."""
         self._listener = listener
         self._writer = writer
-        self._parser = MessageParser(h11.SERVER, listener.max_body_bytes, listener.max_head_bytes)
+        self._parser: MessageParser | None = None  # of the current request, from its first byte on
         self._pipelined = b""  # received while a request awaits its response
+        self._pipelined_limits = listener.limits  # the largest since the first of these bytes
         self._closes_after_response = False
         self._request_timer: asyncio.TimerHandle | None = None  # active while RECEIVING
+        self._receiving_since_s = 0.0  # start of RECEIVING, on the loop's clock
         self._operation: Operation | None = None  # set while AWAITING_RESPONSE
         self._close_reason = CloseReason.CLIENT_DISCONNECTED  # unless it is closed locally
         self.state = ClientState.NO_REQUEST
+        # Of the current request, or of the current time without one: the largest since it began, as far as
+        # this connection has looked.
+        self.limits = listener.limits
         self.is_over_limit = False  # requests are rejected because there are too many connections
 
     async def run(self, reader: asyncio.StreamReader) -> None:
@@ -99,6 +109,16 @@
         self._listener.mark_busy(self)
         self._writer.transport.abort()
 
+    def _on_request_timer(self) -> None:
+        """Handle the time-out of a partial request, unless the limit was raised in the meantime."""
+        timeout_s = self.limits.raised_to(self._listener.limits).request_timeout_s
+        loop = asyncio.get_running_loop()
+        due_s = self._receiving_since_s + timeout_s
+        if loop.time() < due_s:
+            self._request_timer = loop.call_at(due_s, self._on_request_timer)
+        else:
+            self.on_request_timeout()
+
     def on_request_timeout(self) -> None:
         """Close a connection without a complete request in time; silent or slow peers use up descriptors."""
         if self.state is ClientState.RECEIVING:
@@ -115,7 +135,9 @@
         pipelined, self._pipelined = self._pipelined, b""
         self._write_response(status, body, size, header_lines, close=self._closes_after_response)
         self._await_next_request()
-        self._receive(pipelined)
+        if pipelined:
+            self._begin_request(self._pipelined_limits.raised_to(self._listener.limits))
+            self._receive(pipelined)
 
     def respond_at_once(
         self,
@@ -165,7 +187,7 @@
         """Process received requests one by one, until one has to wait for its response."""
         while chunk and self.state is not ClientState.AWAITING_RESPONSE and not self._writer.is_closing():
             try:
-                message = self._parser.feed(chunk)
+                message = self._current_parser().feed(chunk)
                 if message is None:
                     return self._on_partial_request()
                 self._end_receiving()
@@ -173,19 +195,39 @@
                 chunk = message.trailing_data
             except MalformedMessageError as error:
                 self._listener.log(f"invalid client request answered with status {error.status}: {error}")
-                return self.respond_at_once(error.status, close=True, reason=CloseReason.MALFORMED)
+                return self._listener.reject_malformed(self, error)
         if chunk and self.state is ClientState.AWAITING_RESPONSE:
-            self._pipelined += chunk
-            if len(self._pipelined) > 2 * self._listener.max_body_bytes:
-                self.abort(CloseReason.MALFORMED)  # bounds memory; `run` then reports the disconnect
+            self._store_pipelined(chunk)
+
+    def _store_pipelined(self, chunk: bytes) -> None:
+        current = self._listener.limits
+        self._pipelined_limits = self._pipelined_limits.raised_to(current) if self._pipelined else current
+        self._pipelined += chunk
+        if len(self._pipelined) > MAX_PIPELINED_REQUESTS * self._pipelined_limits.max_request_bytes:
+            self.abort(CloseReason.MALFORMED)  # bounds memory; `run` then reports the disconnect
+
+    def _current_parser(self) -> MessageParser:
+        """Return the parser of the current request, with the listener's present limits if they are larger."""
+        current = self._listener.limits
+        if self._parser is None:
+            self._begin_request(current)
+        elif self.limits is not current:
+            self.limits = self.limits.raised_to(current)
+            self._parser.raise_limits(self.limits.max_body_bytes, self.limits.max_head_bytes)
+        return self._parser
+
+    def _begin_request(self, limits: RequestLimits) -> None:
+        """Create the parser of a request whose first byte was received under these limits."""
+        self.limits = limits
+        self._parser = MessageParser(h11.SERVER, limits.max_body_bytes, limits.max_head_bytes)
 
     def _on_partial_request(self) -> None:
         self._listener.mark_receiving(self)
         if self.state is ClientState.NO_REQUEST:
             self.state = ClientState.RECEIVING
-            self._request_timer = asyncio.get_running_loop().call_later(
-                self._listener.request_timeout_s, self.on_request_timeout
-            )
+            loop = asyncio.get_running_loop()
+            self._receiving_since_s = loop.time()
+            self._request_timer = loop.call_later(self.limits.request_timeout_s, self._on_request_timer)
         if self._parser.expects_continue():
             self._writer.write(_CONTINUE)
 
@@ -223,7 +265,7 @@
 
     def _await_next_request(self) -> None:
         """Mark the connection as idle until the next request; the previous one has its response."""
-        listener = self._listener
-        self._parser = MessageParser(h11.SERVER, listener.max_body_bytes, listener.max_head_bytes)
+        self._parser = None
+        self.limits = self._listener.limits
         if not self._writer.is_closing():
             self._listener.mark_idle(self)
--- a/lapisgrade/net/client_listener.py
+++ b/lapisgrade/net/client_listener.py
@@ -9,16 +9,13 @@
 from lapisgrade.net.close_reason import CloseReason
 from lapisgrade.net.connection import limit_read_size
 from lapisgrade.net.events import Event
-from lapisgrade.net.http import MAX_BODY_BYTES, MAX_HEAD_BYTES, Message
+from lapisgrade.net.http import MalformedMessageError, Message
 from lapisgrade.net.metrics import NetMetrics
+from lapisgrade.net.request_limits import RequestLimits
 from lapisgrade.net.request_parser import RequestParser
 
-# The protocol allows closing a connection after 2 s without an open request. A connection without a complete
-# request must get an error response or be closed within 3 s.
-REQUEST_TIMEOUT_S = 2.0  # time to a complete request, from connecting or from the request's first byte
-IDLE_TIMEOUT_S = 2.0  # maximum idle time after a response; clients that reuse a connection do so sooner
-IDLE_DIVISOR = 4  # one in this many of the allowed connections may be idle for IDLE_TIMEOUT_S
-CHECK_INTERVAL_S = 0.2  # interval between checks of REQUEST_TIMEOUT_S and IDLE_TIMEOUT_S
+IDLE_DIVISOR = 4  # one in this many of the allowed connections may be idle for the idle time-out
+CHECK_INTERVAL_S = 0.2  # interval between checks of the time-outs
 # Minimum time without a request, since connecting or since the last response, before a connection is closed
 # early. An active client sends its request within this time. At the connection limit, an idle connection is
 # evicted without it.
@@ -34,12 +31,8 @@
     writes the responses.
     """
 
-    READINESS_TARGET = b"/up"
-    # Subclasses for other client protocols override these.
-    max_body_bytes = MAX_BODY_BYTES
-    max_head_bytes = MAX_HEAD_BYTES
-    request_timeout_s = REQUEST_TIMEOUT_S
-    idle_timeout_s = IDLE_TIMEOUT_S
+    READINESS_TARGET = b"/up"  # subclasses for other client protocols override it
+    limits = RequestLimits()  # replaced as a whole when the limits change
 
     def __init__(
         self,
@@ -124,6 +117,10 @@
         """
         return self._parser.parse(client, message, self._now(), self.open_request_ids)
 
+    def reject_malformed(self, client: ClientConnection, error: MalformedMessageError) -> None:
+        """Answer an invalid request and close its connection."""
+        client.respond_at_once(error.status, close=True, reason=CloseReason.MALFORMED)
+
     # ---- called by connections
 
     def mark_receiving(self, client: ClientConnection) -> None:
@@ -181,7 +178,7 @@
         expired = [
             client
             for client, since_s in self.awaiting_first_request.items()
-            if since_s < now_s - self.request_timeout_s
+            if since_s < now_s - client.limits.raised_to(self.limits).request_timeout_s
         ]
         for client in expired:
             client.on_request_timeout()
@@ -190,5 +187,6 @@
         # the connections is idle, those idle for longest are therefore closed earlier.
         excess = len(self.idle) - self._max_connections // IDLE_DIVISOR
         for position, (client, since_s) in enumerate(list(self.idle.items())):
-            if since_s < now_s - (EVICTION_GRACE_S if position < excess else self.idle_timeout_s):
+            timeout_s = client.limits.raised_to(self.limits).idle_timeout_s
+            if since_s < now_s - (EVICTION_GRACE_S if position < excess else timeout_s):
                 client.close(CloseReason.IDLE)
--- a/lapisgrade/net/http.py
+++ b/lapisgrade/net/http.py
@@ -46,7 +46,16 @@
 class MessageParser:
     """Parses one message from the chunks that are read; each message needs its own parser."""
 
-    __slots__ = ("_awaits_response", "_body", "_head", "_machine", "_max_body_bytes", "_size")
+    __slots__ = (
+        "_awaits_response",
+        "_body",
+        "_head",
+        "_machine",
+        "_max_body_bytes",
+        "_max_head_bytes",
+        "_role",
+        "_size",
+    )
 
     def __init__(
         self, role: type, max_body_bytes: int = MAX_BODY_BYTES, max_head_bytes: int = MAX_HEAD_BYTES
@@ -59,7 +68,9 @@
             max_head_bytes: Maximum size of the start line and the header fields.
         """
         self._machine = h11.Connection(role, max_incomplete_event_size=max_head_bytes)
+        self._role = role
         self._max_body_bytes = max_body_bytes
+        self._max_head_bytes = max_head_bytes
         self._awaits_response = role is h11.CLIENT
         self._head: h11.Request | h11.Response | None = None
         self._body: list[memoryview | bytes] = []
@@ -103,6 +114,16 @@
         except h11.RemoteProtocolError as error:
             raise MalformedMessageError(str(error), error.error_status_hint) from None
 
+    def raise_limits(self, max_body_bytes: int, max_head_bytes: int) -> None:
+        """Raise the limits for the rest of the message; lower values change nothing."""
+        self._max_body_bytes = max(self._max_body_bytes, max_body_bytes)
+        if max_head_bytes <= self._max_head_bytes or self._head is not None:
+            return
+        self._max_head_bytes = max_head_bytes
+        received = self._machine.trailing_data[0]  # h11 consumes nothing before the head is complete
+        self._machine = h11.Connection(self._role, max_incomplete_event_size=max_head_bytes)
+        self._machine.receive_data(received)
+
     def expects_continue(self) -> bool:
         """Return whether the peer waits for 100 Continue to send the body (RFC 9110, section 10.1.1)."""
         return self._machine.they_are_waiting_for_100_continue
--- a/tests/net/test_client_listener.py
+++ b/tests/net/test_client_listener.py
@@ -11,6 +11,7 @@
 
 from lapisgrade.net import client_listener
 from lapisgrade.net.close_reason import CloseReason
+from lapisgrade.net.request_limits import RequestLimits
 
 
 @on_limiter_loop
@@ -169,8 +170,8 @@
 async def test_connections_without_a_complete_request_time_out_and_active_ones_stay_open():
     async with LimiterSite() as site:
         with pytest.MonkeyPatch.context() as patch:
-            patch.setattr(client_listener.ClientListener, "request_timeout_s", 0.4)
-            patch.setattr(client_listener.ClientListener, "idle_timeout_s", 1.0)
+            limits = RequestLimits(request_timeout_s=0.4, idle_timeout_s=1.0)
+            patch.setattr(client_listener.ClientListener, "limits", limits)
             unused, incomplete, slow, reused = [await site.connect() for _ in range(4)]
             incomplete[1].write(site.encode_request()[:40])
             for each in site.servers:
@@ -249,3 +250,25 @@
                     await wait_until(lambda: not site.service.host.unanswered)
         assert closed[CloseReason.TIMED_OUT] == 1
         assert not site.attempts("199")
+
+
+@on_limiter_loop
+async def test_changed_time_outs_apply_to_what_is_in_progress_only_if_they_are_longer():
+    short = RequestLimits(request_timeout_s=0.4, idle_timeout_s=0.4)
+    long = RequestLimits(request_timeout_s=1.6, idle_timeout_s=1.6)
+    for first, second in ((short, long), (long, short)):
+        async with LimiterSite() as site:
+            listener = site.service.listener
+            listener.limits = first
+            receiving, idle, unused = [await site.connect() for _ in range(3)]
+            assert (await site.request(path="/up", connection=receiving))[0] == 200
+            receiving[1].write(site.encode_request(path="/up")[:20])
+            assert (await site.request(path="/up", connection=idle))[0] == 200
+            await asyncio.sleep(0.1)
+            listener.limits = second
+            await asyncio.sleep(0.9)
+            assert len(listener.clients) == 3
+            receiving[1].write(site.encode_request(path="/up")[20:])
+            assert (await read_message(receiving[0]))[0].startswith("HTTP/1.1 200")
+            for each in (idle, unused):
+                assert (await site.request(path="/up", connection=each))[0] == 200
