Connections are reused above 1,023 descriptors

Cause: `is_stale` looked at an idle connection with `select.select`, which raises ValueError for descriptors of 1,024 and more: inside the engine's `Send`, and in `ConnectionPool.update_addresses`. No other call of the program has such a limit (the event loops use epoll).

Change: `select.poll`, which takes descriptors of any number.

--- a/lapisgrade/net/connection.py
+++ b/lapisgrade/net/connection.py
@@ -54,8 +54,17 @@
     """
     if writer.is_closing() or reader.at_eof() or reader.unread_bytes:
         return True
-    # Readable: the kernel has data, or the end of the connection, that asyncio has not received yet.
-    return bool(select.select([writer.get_extra_info("socket")], [], [], 0)[0])
+    return _is_readable(writer.get_extra_info("socket").fileno())
+
+
+def _is_readable(descriptor: int) -> bool:
+    """Return whether the kernel has data, or the end of the connection, that asyncio has not received yet.
+
+    `poll` takes descriptors of any number; `select` fails from 1,024 on.
+    """
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN)
+    return bool(poll.poll(0))
 
 
 def call_after_pending_io(callback: Callable[[], None]) -> None:
