An exception ends its request with an answer at once, and leaves nothing occupied

Cause: the engine marked a task as finished only if its generator raised. If what executes a command raised, the task was neither finished nor waiting, so nothing rejected it, woke it or timed it out; other ready tasks waited for the next event. Elsewhere an exception took away what would have ended a request or freed a slot: a server connection's task, the forwarding of a response, a tenant's call to its count's owner (all later requests of that tenant then waited for their deadline), the wake-up that a timer needs.

Change: a failing command raises in the generator that yielded it; ready tasks are resumed first; the host answers each operation whose task has ended. A send that fails ends its attempt; a connection's task, an add to a count and a client's request that fail end what waits for them. The pool gives the server's idle connections up.

--- a/lapisgrade/engine.py
+++ b/lapisgrade/engine.py
@@ -9,6 +9,9 @@
     waiting for a call --call_finished--> ready
 
 Tasks are resumed in the order in which they become ready, before the call that made them ready returns.
+
+A command that fails raises in the generator that yielded it. A generator that doesn't handle an exception
+ends its task; the other ready tasks are resumed before the exception is raised to the host.
 """
 
 import heapq
@@ -113,7 +116,8 @@
         """Start a generator; run it and all tasks that it makes ready until they wait.
 
         Raises:
-            TypeError: The generator yielded something that the engine can't execute.
+            Exception: A generator has failed, and its task is finished: TypeError if it yielded something
+                that the engine can't execute. The other calls of the host raise in the same way.
         """
         task = Task(generator, operation)
         if operation is not None:
@@ -161,34 +165,51 @@
             self._drain()
 
     def _drain(self) -> None:
-        """Resume ready tasks until none is left."""
+        """Resume ready tasks until none is left; then raise the first exception of a failed task."""
+        first_error: Exception | None = None
         while self._ready:
             task, value = self._ready.popleft()
-            self._resume(task, value)
+            try:
+                self._resume(task, value)
+            except Exception as error:
+                first_error = first_error or error
+        if first_error is not None:
+            raise first_error
 
     def _resume(self, task: Task, value: Any) -> None:
         """Resume a task until it waits or ends."""
         task.resume_count += 1
+        error: Exception | None = None
         while True:
             try:
-                command = task.generator.send(value)
+                command = task.generator.send(value) if error is None else task.generator.throw(error)
             except StopIteration:
                 task.is_finished = True
                 return
             except Exception:
                 task.is_finished = True
                 raise
-            value = None
-            if isinstance(command, Sleep):
-                self._start_timer(task, command.until_us)
-                return
-            if isinstance(command, AddToCounter):
-                self._host.add_to_counter(task, command)
-                return
-            if isinstance(command, Call) and self._caller is not None:
-                self._caller.call(task, command)
-                return
-            self._execute(task, command)
+            value = error = None
+            try:
+                if self._starts_wait(task, command):
+                    return
+                self._execute(task, command)
+            except Exception as failure:
+                error = failure
+                task.is_sleeping = False
+                task.resume_count += 1  # a timer that the failed command has started is stale
+
+    def _starts_wait(self, task: Task, command: Command) -> bool:
+        """Execute a command that makes its task wait; return False for the other commands."""
+        if isinstance(command, Sleep):
+            self._start_timer(task, command.until_us)
+        elif isinstance(command, AddToCounter):
+            self._host.add_to_counter(task, command)
+        elif isinstance(command, Call) and self._caller is not None:
+            self._caller.call(task, command)
+        else:
+            return False
+        return True
 
     def _execute(self, task: Task, command: Command) -> None:
         """Execute a command that does not make its task wait."""
@@ -225,5 +246,6 @@
         while timers and not timers[0].is_active():
             heapq.heappop(timers)
         if timers and (self._wakeup_us is None or timers[0].due_us < self._wakeup_us):
-            self._wakeup_us = timers[0].due_us
-            self._host.schedule_wakeup(self._wakeup_us)
+            due_us = timers[0].due_us
+            self._host.schedule_wakeup(due_us)
+            self._wakeup_us = due_us
--- a/lapisgrade/gateway/proxy/host.py
+++ b/lapisgrade/gateway/proxy/host.py
@@ -7,7 +7,7 @@
 from lapisgrade.gateway.routing import upstream_protocol
 from lapisgrade.gateway.routing.request import ReplayResponse, RoutedRequest
 from lapisgrade.gateway.routing.upstream_server import UpstreamAttempt
-from lapisgrade.interface import Reject
+from lapisgrade.interface import AttemptResult, Reject
 from lapisgrade.net.close_reason import CloseReason
 from lapisgrade.net.events import AttemptClosed, ClientDisconnected
 from lapisgrade.net.host import Host, LocalResponse
@@ -46,7 +46,8 @@
         super().send(attempt)
         self.on_load_change()
 
-    def _on_attempt_closed(self, event: AttemptClosed) -> None:
+    def finish_attempt(self, event: AttemptClosed) -> AttemptResult:
+        """Record the response of a failed attempt or a keyed request; then as in `Host`."""
         request = event.attempt.operation
         if event.reason is CloseReason.INCOMPLETE_WRITE and not request.is_idempotent:
             # A server may start processing before it has read the complete body.
@@ -55,8 +56,9 @@
             request.handle.failure = event.message
         elif request.operation_key and event.message is not None and event.reason in COMPLETE_RESPONSES:
             request.response = upstream_protocol.outcome_from_response(event.message)
-        super()._on_attempt_closed(event)
+        result = super().finish_attempt(event)
         self.on_load_change()
+        return result
 
     def reject(self, operation: RoutedRequest, answer: Reject) -> None:
         """Answer a request without a successful response; a server's error response replaces a local 502."""
@@ -66,7 +68,7 @@
         has_failure = handle.failure is not None and handle.client is not None
         if not has_failure or self.local_response(answer).status != HTTPStatus.BAD_GATEWAY:
             return super().reject(operation, answer)
-        del self.unanswered[handle]
+        self.unanswered.pop(handle, None)
         self.forward_response(handle.client, handle.failure)
 
     def _replay_response(self, request: RoutedRequest, answer: ReplayResponse) -> None:
@@ -74,7 +76,7 @@
         client, outcome = request.handle.client, answer.outcome
         if client is None:
             return  # the client has disconnected meanwhile
-        del self.unanswered[request.handle]
+        self.unanswered.pop(request.handle, None)
         header_lines = b"Try-Id: %b\r\n%b" % (request.handle.request_id, outcome.header_lines)
         client.respond(outcome.status, [outcome.body], len(outcome.body), header_lines)
 
--- a/lapisgrade/gateway/proxy/metrics.py
+++ b/lapisgrade/gateway/proxy/metrics.py
@@ -16,6 +16,8 @@
         tasks_failed: Permanent tasks that ended unexpectedly; each shuts down the process.
         watch_requests: Watch requests to controllers or through other proxies.
         watch_requests_unanswered: Watch requests without a reply from the leader.
+        watch_failures: Replies or requests that ended by an exception in this proxy; each is repeated.
+        invalid_servers: Servers in replies that were left out because their address is invalid.
         watch_requests_relayed: Watch requests of other proxies that were forwarded to the leader.
         requests_not_yet_active: Requests answered 503 because proxies may differ on the active version.
         idle_connections_closed: Idle connections to servers that were closed because they exceeded the limit.
@@ -23,6 +25,7 @@
         quota_calls_refused: Calls that the quota's owner did not accept.
         quota_calls_repeated: Calls that were retried under another membership.
         quota_calls_unanswered: Calls without a reply from the quota's owner.
+        quota_calls_failed: Calls that ended by an exception in this proxy; the log has each traceback.
         hand_overs_sent: Counts that were handed over to their new owner.
         hand_overs_deferred: Hand-over requests for counts that can't be handed over yet.
         hand_overs_received: Counts that were received from their previous owner.
@@ -40,6 +43,8 @@
     tasks_failed: int = 0
     watch_requests: int = 0
     watch_requests_unanswered: int = 0
+    watch_failures: int = 0
+    invalid_servers: int = 0
     watch_requests_relayed: int = 0
     requests_not_yet_active: int = 0
     idle_connections_closed: int = 0
@@ -47,6 +52,7 @@
     quota_calls_refused: int = 0
     quota_calls_repeated: int = 0
     quota_calls_unanswered: int = 0
+    quota_calls_failed: int = 0
     hand_overs_sent: int = 0
     hand_overs_deferred: int = 0
     hand_overs_received: int = 0
--- a/lapisgrade/gateway/proxy/quota_transport.py
+++ b/lapisgrade/gateway/proxy/quota_transport.py
@@ -1,6 +1,8 @@
 """RPC calls for quotas between proxies: adds to a tenant's count at its owner, and hand-overs of counts."""
 
 import asyncio
+import logging
+import traceback
 from collections.abc import Coroutine
 from typing import Any
 
@@ -20,6 +22,10 @@
 from lapisgrade.interface import AddToCounter
 from lapisgrade.net.close_reason import CloseReason
 from lapisgrade.net.events import CounterCallFinished
+from lapisgrade.net.rate_limited_log import RateLimitedLog
+
+log = logging.getLogger("proxy")
+_failure_log = RateLimitedLog("proxy", log.error)
 
 ADD_TIMEOUT_S = 0.15  # time-out of an add: two round trips between zones, with a margin for busy machines
 RETRY_DELAY_S = 0.015  # delay before an add is retried because the owner has another membership
@@ -61,7 +67,7 @@
         request = quota_client.quota_request(hostname, self._quota_owner.fencing_token)
         if owner_name == hostname and not self._quota_owner.predecessor(self._now_us(), request.tenant):
             return self._finish_with_reply(task, request, self._add_locally(request))
-        self._start(self._add_at_owner(task, request))
+        self._start(self._run_add(task, request))
 
     def _now_us(self) -> int:
         return self._context.now_us()
@@ -74,6 +80,15 @@
     def _add_locally(self, request: rpc_messages.QuotaRequest) -> rpc_messages.QuotaReply:
         return self._quota_owner.add(self._now_us(), request, self._updates.ownership_ends_us)
 
+    async def _run_add(self, task: Task, request: rpc_messages.QuotaRequest) -> None:
+        """Add at the owner; a failure of this proxy ends the call too, as the task would wait forever."""
+        try:
+            await self._add_at_owner(task, request)
+        except Exception:
+            self._context.metrics.quota_calls_failed += 1
+            _failure_log.write(f"an add to a quota's count failed: {traceback.format_exc()}")
+            self._finish(task, CloseReason.TIMED_OUT)  # the owner may have counted it
+
     async def _add_at_owner(self, task: Task, request: rpc_messages.QuotaRequest) -> None:
         """Call the owner, which may be this proxy, until it accepts or replies under this proxy's membership.
 
--- a/lapisgrade/gateway/quota/client.py
+++ b/lapisgrade/gateway/quota/client.py
@@ -16,7 +16,15 @@
 from lapisgrade.gateway.configuration import Tenant
 from lapisgrade.gateway.quota.count import LEASE_US, capacity
 from lapisgrade.gateway.settings import Slo
-from lapisgrade.interface import AddToCounter, Clock, CounterOutcome, CounterReply, Plan
+from lapisgrade.interface import (
+    AddToCounter,
+    Clock,
+    CommandGenerator,
+    CounterOutcome,
+    CounterReply,
+    Plan,
+    Resume,
+)
 from lapisgrade.policy.account import Account
 from lapisgrade.policy.counter_breaker import MAX_CONSECUTIVE_FAILURES, CounterBreaker
 from lapisgrade.rate import TokenBucket
@@ -202,6 +210,19 @@
 
     # ---- calls to the owner
 
+    def run_counter_calls(self) -> CommandGenerator[None]:
+        """Call the owner as `Account` does; requests don't keep waiting for a call that has failed."""
+        try:
+            yield from super().run_counter_calls()
+        except Exception:
+            for pending in self.pending:
+                pending.is_resolved = True
+                yield Resume(pending.operation)
+            self.pending.clear()
+            raise
+        finally:
+            self.is_calling = False
+
     def add_to_counter(self, units: float) -> Generator[AddToCounter, CounterReply, CounterOutcome]:
         """Add `units` and the unreported units to the count, and return the outcome of the call.
 
--- a/lapisgrade/gateway/routing/router.py
+++ b/lapisgrade/gateway/routing/router.py
@@ -215,6 +215,7 @@
         The host calls it before it resumes the request.
         """
         request = attempt.operation
+        attempt.server.in_flight.pop(attempt, None)  # first, so that a failure below doesn't occupy its slot
         now_us, cluster = self.clock.now_us, self.cluster(request.service)
         was_broken = result.outcome is AttemptOutcome.CONNECTION_LOST
         was_stale = self.idle_connections.on_attempt_finished(
--- a/lapisgrade/net/client_connection.py
+++ b/lapisgrade/net/client_connection.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import traceback
 from enum import Enum, auto
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -30,6 +31,7 @@
 MAX_PIPELINED_REQUESTS = 2  # of the maximum size; bytes beyond that end the connection
 _OK = 200
 _REQUEST_TIMEOUT = 408
+_INTERNAL_SERVER_ERROR = 500
 _SERVICE_UNAVAILABLE = 503
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _REASON_PHRASES = {each.value: each.phrase.encode() for each in HTTPStatus}
@@ -133,7 +135,11 @@
         """Write the final response to the current request, and process the next pipelined request."""
         self._detach_operation()
         pipelined, self._pipelined = self._pipelined, b""
-        self._write_response(status, body, size, header_lines, close=self._closes_after_response)
+        try:
+            self._write_response(status, body, size, header_lines, close=self._closes_after_response)
+        except Exception:
+            self.abort(CloseReason.MALFORMED)
+            raise
         self._await_next_request()
         if pipelined:
             self._begin_request(self._pipelined_limits.raised_to(self._listener.limits))
@@ -196,6 +202,10 @@
             except MalformedMessageError as error:
                 self._listener.log(f"invalid client request answered with status {error.status}: {error}")
                 return self._listener.reject_malformed(self, error)
+            except Exception:
+                self._listener.log(f"a client's request failed: {traceback.format_exc()}")
+                self._listener.metrics.handler_failures += 1
+                return self.respond_at_once(_INTERNAL_SERVER_ERROR, close=True, reason=CloseReason.MALFORMED)
         if chunk and self.state is ClientState.AWAITING_RESPONSE:
             self._store_pipelined(chunk)
 
--- a/lapisgrade/net/connection_pool.py
+++ b/lapisgrade/net/connection_pool.py
@@ -69,8 +69,17 @@
         elif server not in self.addresses or not self._has_capacity():
             self._enqueue(AttemptClosed(attempt, CloseReason.NOT_SENT))
         else:
-            self._open_connections += 1
             self._in_flight[attempt] = UpstreamConnection(self, server, attempt)
+            self._open_connections += 1
+
+    def abandon(self, attempt: Any) -> None:
+        """End an attempt whose `send` has failed, and don't use the server's idle connections again."""
+        connection = self._in_flight.get(attempt)
+        if connection is None:
+            self._enqueue(AttemptClosed(attempt, CloseReason.NOT_SENT))
+        else:
+            connection.close(CloseReason.CONNECTION_LOST)
+        self.close_idle(attempt.server.address)
 
     def cancel(self, attempt: Any) -> None:
         """Close the connection of an attempt that is no longer needed; does nothing if it has ended."""
--- a/lapisgrade/net/host.py
+++ b/lapisgrade/net/host.py
@@ -111,15 +111,33 @@
             try:
                 handlers[type(event)](event)
             except Exception:
-                self._log(f"handler of {type(event).__name__} failed: {traceback.format_exc()}")
-                self._metrics.handler_failures += 1
-                self._reject_failed_operations()
-
-    def _reject_failed_operations(self) -> None:
-        """Reject operations whose generator raised, immediately, without affecting other operations."""
-        failed = [each for each in self.unanswered.values() if each.task is None or each.task.is_finished]
-        for operation in failed:
-            self.reject(operation, Reject(RejectReason.FAILED))
+                self._on_failure(f"handler of {type(event).__name__}")
+                self._end_failed_operations()
+
+    def _on_failure(self, what: str) -> None:
+        """Log and count the exception that is being handled."""
+        self._log(f"{what} failed: {traceback.format_exc()}")
+        self._metrics.handler_failures += 1
+
+    def _end_failed_operations(self) -> None:
+        """Answer the operations whose generator has ended without an answer; others are not affected."""
+        for operation in list(self.unanswered.values()):
+            if operation.task is None or operation.task.is_finished:
+                self._end_operation(operation)
+
+    def _end_operation(self, operation: Operation) -> None:
+        """Answer an operation without its generator, and wake that generator so that it ends too."""
+        self.unanswered.pop(operation.handle, None)
+        client = operation.handle.client
+        try:
+            if client is not None:
+                response = self.local_response(Reject(RejectReason.FAILED))
+                client.respond(response.status, [], 0, response.header_lines)
+            operation.is_abandoned = True
+            if operation.task is not None:
+                self.engine.wake(operation, WakeReason.CLIENT_DISCONNECTED)
+        except Exception:
+            self._on_failure("the answer to a failed operation")
 
     # ---- events
 
@@ -139,19 +157,41 @@
             self.engine.wake(operation, WakeReason.CLIENT_DISCONNECTED)
 
     def _on_attempt_closed(self, event: AttemptClosed) -> None:
-        attempt, reason, message = event.attempt, event.reason, event.message
-        operation = attempt.operation
-        client = operation.handle.client
-        # Client errors are forwarded instead of retried, which keeps an invalid request away from the other
-        # servers: each of them would reject it too.
-        if client is not None and reason in (CloseReason.ANSWERED, CloseReason.CLIENT_ERROR):
-            del self.unanswered[operation.handle]
-            self.forward_response(client, message)
-            client = None
-        load = self.parse_load_report(message) if message is not None else None
-        result = AttemptResult(reason.outcome, self.clock.now_us - attempt.sent_us, client is None, load)
+        attempt = event.attempt
+        try:
+            result = self.finish_attempt(event)
+        except Exception:
+            self._on_failure("the end of an attempt")
+            self._end_operation(attempt.operation)
+        else:
+            self.engine.attempt_finished(attempt, result)
+
+    def finish_attempt(self, event: AttemptClosed) -> AttemptResult:
+        """Answer the client if the attempt ended with a final response; return the result for the policy."""
+        attempt, operation = event.attempt, event.attempt.operation
+        load = None
+        try:
+            self._forward_final_response(event)
+            load = self.parse_load_report(event.message) if event.message is not None else None
+        except Exception:
+            self._on_failure("the response to an attempt")
+            self._end_operation(operation)
+        is_final = operation.handle.client is None
+        result = AttemptResult(event.reason.outcome, self.clock.now_us - attempt.sent_us, is_final, load)
         self.policy.on_attempt_finished(attempt, result)
-        self.engine.attempt_finished(attempt, result)
+        return result
+
+    def _forward_final_response(self, event: AttemptClosed) -> None:
+        """Forward a success or a client error.
+
+        Client errors are forwarded instead of retried, which keeps an invalid request away from the other
+        servers: each of them would reject it too.
+        """
+        handle = event.attempt.operation.handle
+        client = handle.client
+        if client is not None and event.reason in (CloseReason.ANSWERED, CloseReason.CLIENT_ERROR):
+            self.unanswered.pop(handle, None)
+            self.forward_response(client, event.message)
 
     def _on_counter_call_finished(self, event: CounterCallFinished) -> None:
         self.engine.counter_replied(event.task, CounterReply(event.reason.counter_outcome, event.total))
@@ -183,8 +223,12 @@
     # ---- called by the engine
 
     def send(self, attempt: Any) -> None:
-        """Start an attempt."""
-        self.pool.send(attempt)
+        """Start an attempt. If that fails, it ends, and its server's idle connections are closed."""
+        try:
+            self.pool.send(attempt)
+        except Exception:
+            self._on_failure("an attempt")
+            self.pool.abandon(attempt)
 
     def cancel(self, attempt: Any) -> None:
         """Cancel an attempt that is no longer needed."""
@@ -195,7 +239,7 @@
         client = operation.handle.client
         if client is None:
             return  # the client disconnected in the meantime
-        del self.unanswered[operation.handle]
+        self.unanswered.pop(operation.handle, None)
         response = self.local_response(answer)
         client.respond(response.status, [], 0, response.header_lines)
 
--- a/lapisgrade/net/response_writer.py
+++ b/lapisgrade/net/response_writer.py
@@ -16,4 +16,7 @@
             body: Slices of the body.
             size: Total bytes of all slices.
             header_lines: Additional header fields, each line terminated by CRLF.
+
+        Raises:
+            Exception: The response could not be written; the connection is closed.
         """
--- a/lapisgrade/net/upstream_connection.py
+++ b/lapisgrade/net/upstream_connection.py
@@ -78,6 +78,7 @@
         self._received_stray = False  # whether a response to another request was received
         self._timer = pool.call_at(attempt.operation.deadline_us, self._on_deadline)
         self._task = asyncio.get_running_loop().create_task(self._run())
+        self._task.add_done_callback(self._on_task_done)
 
     def is_usable(self) -> bool:
         """Return whether another attempt may be written to this idle connection."""
@@ -120,7 +121,7 @@
                 self._reader, self._writer = await connect(*self._address)
         except TimeoutError:
             return self.close(CloseReason.CONNECT_TIMEOUT)
-        except OSError:
+        except (OSError, ValueError):  # ValueError: the address can't be looked up
             return self.close(CloseReason.CONNECTION_REFUSED)
         pool.metrics.upstream_connections_opened += 1
         limit_read_size(self._writer)
@@ -137,6 +138,14 @@
             is_writing = self.state is UpstreamState.WRITING
             self.close(CloseReason.INCOMPLETE_WRITE if is_writing else CloseReason.CONNECTION_LOST)
 
+    def _on_task_done(self, task: "asyncio.Task[None]") -> None:
+        """End the attempt if the connection's task has failed; otherwise it would end at its deadline."""
+        if task.cancelled() or task.exception() is None:
+            return
+        self._pool.log(f"connection to server {self.server} failed: {task.exception()!r}")
+        is_connecting = self.state is UpstreamState.CONNECTING
+        self.close(CloseReason.NOT_SENT if is_connecting else CloseReason.CONNECTION_LOST)
+
     def _is_at_current_address(self) -> bool:
         """Return whether the endpoint list still has this server at the connected address."""
         return self._pool.addresses.get(self.server) == self._address
@@ -199,10 +208,10 @@
     def _finish_attempt(self, message: Message) -> None:
         """Report a complete response, and keep the connection if it can be reused."""
         pool = self._pool
+        reason = pool.protocol.classify(self.attempt, message)
+        self.max_idle_us = pool.protocol.keep_alive_us(message) or pool.settings.idle_timeout_us
         attempt, self.attempt = self.attempt, None
         self._timer.cancel()
-        reason = pool.protocol.classify(attempt, message)
-        self.max_idle_us = pool.protocol.keep_alive_us(message) or pool.settings.idle_timeout_us
         pool.on_attempt_finished(attempt, reason, message)
         must_close = (
             message.closes_connection
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -10,6 +10,7 @@
     AttemptOutcome,
     AttemptResult,
     Call,
+    Cancel,
     Category,
     Clock,
     CounterOutcome,
@@ -21,6 +22,7 @@
     RejectReason,
     RepeatSafety,
     Resume,
+    Send,
     Sleep,
     Spawn,
     WakeReason,
@@ -203,3 +205,73 @@
 
     with pytest.raises(TypeError, match="yielded 'sleep', which this engine can't execute"):
         setup.engine.run(yielding_text())
+
+
+class FailingHost(RecordingHost):
+    """Fails to execute one kind of command."""
+
+    def __init__(self, failing: str) -> None:
+        super().__init__()
+        self.failing = failing
+
+    def __getattribute__(self, name: str) -> Any:
+        if name != "failing" and name == object.__getattribute__(self, "__dict__").get("failing"):
+            return self.fail
+        return object.__getattribute__(self, name)
+
+    def fail(self, *_: Any) -> None:
+        raise ValueError("failed")
+
+
+COMMANDS = {
+    "send": Send("attempt"),
+    "cancel": Cancel("attempt"),
+    "reject": Reject(RejectReason.FAILED),
+    "add_to_counter": AddToCounter(1, 1.0, 1),
+    "log": LogMessage("text"),
+    "schedule_wakeup": Sleep(5_000),
+}
+
+
+@pytest.mark.parametrize("name", COMMANDS)
+def test_a_command_that_fails_raises_in_its_generator_and_never_leaves_a_task_waiting(name: str) -> None:
+    setup = Setup()
+    engine = Engine(FailingHost(name), setup.clock)
+    operation = setup.operation()
+
+    def failing():
+        try:
+            yield COMMANDS[name]
+        finally:
+            setup.events.append("cleaned up")
+
+    with pytest.raises(ValueError, match="failed"):
+        engine.run(failing(), operation)
+    assert operation.task.is_finished
+    assert setup.events == ["cleaned up"]
+
+    def handling():
+        try:
+            yield COMMANDS[name]
+        except ValueError:
+            setup.events.append("handled")
+
+    engine.run(handling(), other := setup.operation())
+    assert other.task.is_finished
+    assert setup.events == ["cleaned up", "handled"]
+
+
+def test_a_failed_task_doesnt_keep_other_ready_tasks_from_being_resumed(setup: Setup) -> None:
+    def spawned(number: int):
+        setup.events.append(number)
+        if number == 1:
+            raise ValueError("failed")
+        yield Sleep(5_000)
+
+    def spawning():
+        for number in range(3):
+            yield Spawn(spawned(number))
+
+    with pytest.raises(ValueError, match="failed"):
+        setup.engine.run(spawning())
+    assert setup.events == [0, 1, 2]
