No record of a server or a proxy ends the proxies that read it

Cause: the address was parsed first by each proxy, while it applied the leader's reply; `WatchClient.run` knew two kinds of exception and ended by any other, and its end shuts the proxy down. A neighbour's hint at port 0 did the same.

Change: Addr is checked where it enters (400), as is the address that a proxy reports; proxies leave a server without a usable address out, log and count it; the watch goes on after any exception. Calls to an address that can't be looked up fail at once.

--- a/lapisgrade/gateway/api.py
+++ b/lapisgrade/gateway/api.py
@@ -16,7 +16,7 @@
 from lapisgrade.gateway.controller.draft_merging import MAX_DRAFT_BYTES
 from lapisgrade.gateway.errors import InvalidInputError
 from lapisgrade.gateway.registry import Server, ServerState
-from lapisgrade.gateway.settings import Span, strict_converter, structure
+from lapisgrade.gateway.settings import Span, parse_address, strict_converter, structure
 
 PATH = "/-/rpc"
 NO_WARM_UP = Span(0)  # default of `Heartbeat.warmup_time`: the server runs at full speed
@@ -105,6 +105,15 @@
     return ParsedCall(call, subject)
 
 
+def _check_server_address(address: str) -> None:
+    """Raise InvalidInputError if proxies could not connect to the address."""
+    try:
+        host, _port = parse_address(address)
+        host.encode("idna")
+    except ValueError as error:
+        raise InvalidInputError(f"Addr: {error}") from None
+
+
 def parse_heartbeat(server_id: str, body: bytes) -> Server:
     """Return the server that a heartbeat describes, for `Registry.on_heartbeat`.
 
@@ -118,6 +127,7 @@
     heartbeat: Heartbeat = structure(_CONVERTER, raw, Heartbeat)
     check_integer("Seq", heartbeat.seq)
     check_integer("Slots", heartbeat.slots)
+    _check_server_address(heartbeat.addr)
     return Server(
         id=server_id,
         service=heartbeat.svc,
--- a/lapisgrade/gateway/controller/metrics.py
+++ b/lapisgrade/gateway/controller/metrics.py
@@ -20,7 +20,8 @@
         changes_refused: Refused configuration changes, by call and HTTP status.
         disk_syncs: Successful writes to the log file.
         disk_write_failures: Failed writes to the log file; each is retried.
-        invalid_peer_addresses: Consensus messages dropped because the peer's address can't be parsed.
+        invalid_peer_addresses: Consensus messages and watch requests dropped because the peer's address can't
+            be parsed.
         watch_requests: Watch requests of proxies.
         proxies_found_dead: Proxies whose machine refused the connection of a probe.
         drafts_stored: Drafts written to this controller's disk, including copies of peers' drafts.
--- a/lapisgrade/gateway/controller/watch_service.py
+++ b/lapisgrade/gateway/controller/watch_service.py
@@ -58,6 +58,9 @@
     async def handle_watch(self, request: rpc_messages.WatchRequest) -> rpc_messages.WatchReply:
         """Return the updates for a proxy, or after `LONG_POLL_US` a reply without updates."""
         self._metrics.watch_requests += 1
+        if request.proxy and not _is_address(request.address):
+            self._metrics.invalid_peer_addresses += 1
+            return self._redirect()  # not recorded: other proxies would call it
         self._probe_refusing_proxies(request.unreachable_proxies)
         deadline_us = self._clock() + LONG_POLL_US
         while True:
@@ -172,6 +175,15 @@
         changed.set()
 
 
+def _is_address(text: str) -> bool:
+    """Return whether other processes can call this address."""
+    try:
+        parse_address(text)
+    except ValueError:
+        return False
+    return True
+
+
 def fan_out_interval_us(proxy_count: int) -> int:
     """Return the minimum interval between rounds of replies: twice the CPU time of one round.
 
--- a/lapisgrade/gateway/membership/partial_view.py
+++ b/lapisgrade/gateway/membership/partial_view.py
@@ -24,15 +24,16 @@
 MIN_VIEW_SIZE = MAX_VIEW_SIZE // 2  # a view with fewer neighbours is small
 MAX_CONTROLLERS = 16  # maximum controller addresses in a hint
 MAX_ZONE_LENGTH = 64  # maximum characters in a zone name
+MAX_PORT = 65_535
 _ADDRESS_PATTERN = re.compile(r"\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}")
 
 
 def is_address(text: str) -> bool:
-    """Return whether `text` is an IPv4 address and port.
+    """Return whether `text` is an IPv4 address and port, which `settings.parse_address` accepts too.
 
     Other proxies' messages name addresses, and this proxy sends requests to them, so they are validated.
     """
-    return _ADDRESS_PATTERN.fullmatch(text) is not None and int(text.rpartition(":")[2]) < 65_536
+    return _ADDRESS_PATTERN.fullmatch(text) is not None and 0 < int(text.rpartition(":")[2]) <= MAX_PORT
 
 
 class Neighbour(msgspec.Struct, array_like=True, frozen=True):
--- a/lapisgrade/gateway/proxy/load_reporter.py
+++ b/lapisgrade/gateway/proxy/load_reporter.py
@@ -1,6 +1,7 @@
 """Reports this proxy's requests in flight by server, and unhealthy servers, to the neighbours."""
 
 import asyncio
+import contextlib
 
 from lapisgrade.gateway import SECOND, rpc_messages
 from lapisgrade.gateway.membership.subsets import REPORT_INTERVAL_US
@@ -35,4 +36,5 @@
         hostname = self._context.settings.hostname
         report = rpc_messages.ProxyLoads(hostname, self._router.in_flight(), self._router.unhealthy_servers())
         for neighbour in self._router.subsets.neighbours.values():
-            self._rpc.post(parse_address(neighbour), report)
+            with contextlib.suppress(ValueError):  # an earlier release may have listed an invalid address
+                self._rpc.post(parse_address(neighbour), report)
--- a/lapisgrade/gateway/proxy/process.py
+++ b/lapisgrade/gateway/proxy/process.py
@@ -112,7 +112,7 @@
             self.quota_owner,
             self.partial_view,
             VersionRollout(self.router, self.client_front),
-            ServerList(self.router, self.pool),
+            ServerList(self.router, self.pool, context.metrics),
             self.reachability,
             self.load_reporter,
         )
--- a/lapisgrade/gateway/proxy/watch_client.py
+++ b/lapisgrade/gateway/proxy/watch_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import traceback
 from collections.abc import Callable
 
 import msgspec
@@ -16,8 +17,10 @@
 from lapisgrade.gateway.rpc import RpcEndpoint
 from lapisgrade.gateway.settings import parse_address
 from lapisgrade.gateway.watch_timing import LONG_POLL_US
+from lapisgrade.net.rate_limited_log import RateLimitedLog
 
 log = logging.getLogger("proxy")
+_failure_log = RateLimitedLog("proxy", log.error)
 
 REPLY_TIMEOUT_S = LONG_POLL_US / SECOND + 0.35  # time-out of a watch request: the leader's delay and 0.35 s
 RETRY_DELAY_S = 0.05  # delay before the next controller is tried
@@ -65,23 +68,33 @@
         self._is_shutting_down = is_shutting_down
 
     async def run(self) -> None:
-        """Send watch requests, one at a time, until cancelled."""
-        target, metrics, now_us = self._target, self._context.metrics, self._context.now_us
+        """Send watch requests, one at a time, until cancelled; no request or reply ends this task."""
         while True:
-            to, sent_us = parse_address(target.next(now_us())), now_us()
-            reply = await self._send_request(to)
-            metrics.watch_requests += 1
-            if not target.on_reply(now_us(), reply) or reply is None:
-                metrics.watch_requests_unanswered += 1
-                await asyncio.sleep(RETRY_DELAY_S)
-                continue
             try:
-                self._apply_update(reply, sent_us)
+                was_applied = await self._watch_once()
             except (InvalidInputError, msgspec.MsgspecError) as error:
                 log.error("invalid configuration version from the leader; requesting it in full: %s", error)
                 self._updates.versions.requests_full_version = True
+                was_applied = False
+            except Exception:
+                self._context.metrics.watch_failures += 1
+                _failure_log.write(f"a watch request failed: {traceback.format_exc()}")
+                was_applied = False
+            if not was_applied:
                 await asyncio.sleep(RETRY_DELAY_S)
 
+    async def _watch_once(self) -> bool:
+        """Send one request and apply the leader's reply; return False without such a reply."""
+        target, metrics, now_us = self._target, self._context.metrics, self._context.now_us
+        to, sent_us = parse_address(target.next(now_us())), now_us()
+        reply = await self._send_request(to)
+        metrics.watch_requests += 1
+        if not target.on_reply(now_us(), reply) or reply is None:
+            metrics.watch_requests_unanswered += 1
+            return False
+        self._apply_update(reply, sent_us)
+        return True
+
     async def relay(self, request: rpc_messages.WatchRequest) -> rpc_messages.WatchReply:
         """Forward the request of a proxy that reaches no controller, if this proxy knows the leader."""
         leader = self._target.leader
--- a/lapisgrade/gateway/rpc_peer.py
+++ b/lapisgrade/gateway/rpc_peer.py
@@ -101,7 +101,7 @@
                 return connection
         except ConnectionRefusedError:
             self.is_refusing = True
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, ValueError):  # ValueError: the address can't be looked up
             pass
         return None
 
--- a/tests/gateway/proxy/test_server_list.py
+++ b/tests/gateway/proxy/test_server_list.py
@@ -3,6 +3,7 @@
 import pytest
 
 from lapisgrade.gateway import registry
+from lapisgrade.gateway.proxy.metrics import ProxyMetrics
 from lapisgrade.gateway.proxy.server_list import ServerList
 from lapisgrade.gateway.routing.router import Router
 from lapisgrade.gateway.rpc_messages import WatchReply
@@ -29,7 +30,7 @@
 
     def __init__(self) -> None:
         self.pool, self.router = Pool(), Router(Clock(0), 1, Slo(), "z")
-        self.servers = ServerList(self.router, self.pool)
+        self.servers = ServerList(self.router, self.pool, ProxyMetrics())
 
 
 @pytest.fixture
