Simulate the loss of all disks that Faults allows at the deployments' numbers of voters

The schedules wiped one disk after an acknowledgement. `tolerated-losses` wipes as many as may be lost at once, at 3, 5, 6 and 8 voters, with all power lost at the same moment.

With 3 or 4 voters and two losses, the numbers of the small deployments before, a test shows that it goes wrong.

--- a/lapisgrade/lab/simulation/fault_schedules.py
+++ b/lapisgrade/lab/simulation/fault_schedules.py
@@ -16,6 +16,7 @@
     start_simulation,
 )
 from lapisgrade.lab.simulation.schedule_steps import (
+    all_tolerated_disks_wiped,
     killed_before_sync,
     lagging_voter,
     newcomers_on_one_side,
@@ -41,6 +42,8 @@
     replaced_with_leader_loss,
     lagging_voter,
 )
+# Of the deployments and their small twins; `tests/gateway/controller/test_voters` has them in full.
+DEPLOYED_SIZES = ((3, 1), (5, 2), (6, 2), (8, 2))
 CLUSTER_SIZES = ((3, 1), (4, 1), (5, 1), (6, 2), (8, 2))  # voters, and machines that may be lost at once
 
 
@@ -150,6 +153,19 @@
         return repeat_step(start_simulation(seed, size, max_lost), STEPS[seed % len(STEPS)], 5.0)
 
 
+def tolerated_losses(
+    seed: int, sizes: tuple[tuple[int, int], ...] = DEPLOYED_SIZES
+) -> ControlPlaneSimulation:
+    """All machines lose power after an acknowledgement, and as many disks are lost as may be at once.
+
+    Args:
+        seed: Seed of the simulation, which also chooses one of the sizes.
+        sizes: Numbers of voters, and of machines that may be lost at once.
+    """
+    size, max_lost = sizes[seed % len(sizes)]
+    return repeat_step(start_simulation(seed, size, max_lost), all_tolerated_disks_wiped, 6.0)
+
+
 def churn(seed: int) -> ControlPlaneSimulation:
     """Random partitions in quick succession, with one entry in each message.
 
@@ -228,6 +244,7 @@
     "leader-cut": leader_partition,
     "orders-resent": changes_resent,
     "second-loss": second_loss,
+    "tolerated-losses": tolerated_losses,
     "churn": churn,
     "hundreds-of-changes": hundreds_of_changes,
     "unsynced": unsynced,
--- a/lapisgrade/lab/simulation/schedule_steps.py
+++ b/lapisgrade/lab/simulation/schedule_steps.py
@@ -7,7 +7,17 @@
 
 
 def wiped_after_acknowledgement(simulation: ControlPlaneSimulation) -> None:
-    """All machines lose power right after an acknowledgement, and one that has the entry loses its disk.
+    """All machines lose power right after an acknowledgement, and one that has the entry loses its disk."""
+    _wipe_after_acknowledgement(simulation, 1)
+
+
+def all_tolerated_disks_wiped(simulation: ControlPlaneSimulation) -> None:
+    """As `wiped_after_acknowledgement`, with as many disks as may be lost at once."""
+    _wipe_after_acknowledgement(simulation, simulation.faults.max_lost)
+
+
+def _wipe_after_acknowledgement(simulation: ControlPlaneSimulation, count: int) -> None:
+    """Wipe `count` disks, at first of machines that have the newest entry.
 
     Of the rest, those without the entry restart first. A slow disk ensures that at least one is without it.
     """
@@ -16,12 +26,14 @@
     simulation.run_until_acknowledgement(3.0, 0.0003)
     machines = simulation.cluster.running_machines()
     holders = [each for each in machines if _is_newest_entry_durable(simulation, each)]
-    wiped = simulation.random.choice(holders or machines)
+    wiped = simulation.random.sample(holders, min(count, len(holders)))
+    rest = [each for each in machines if each not in wiped]
+    wiped += simulation.random.sample(rest, min(count - len(wiped), len(rest)))
     for machine in machines:
         machine.disk.slowdown = 1.0
-        machine.kill(power=True, wipe=machine is wiped)
+        machine.kill(power=True, wipe=machine in wiped)
     for machine in machines:
-        starts_late = machine in holders and machine is not wiped
+        starts_late = machine in holders and machine not in wiped
         simulation.faults.call_after(
             0.2 + 0.3 * simulation.random.random() + (1.2 if starts_late else 0.0), machine.start
         )
--- a/tests/lab/simulation/test_fault_schedules.py
+++ b/tests/lab/simulation/test_fault_schedules.py
@@ -7,7 +7,7 @@
 
 from lapisgrade.lab.explore.defects import injected
 from lapisgrade.lab.simulation.defects import control_plane as control_plane_defects
-from lapisgrade.lab.simulation.fault_schedules import FAULT_SCHEDULES
+from lapisgrade.lab.simulation.fault_schedules import FAULT_SCHEDULES, tolerated_losses
 
 SEEDS = 8  # number of seeds per schedule
 DEFECT_SEEDS = 30  # number of seeds, of which one must find an injected defect
@@ -25,6 +25,9 @@
             id="a_change_sent_again_has_the_same_outcome_and_each_base_has_one_version",
         ),
         pytest.param("second-loss", 15, id="a_second_loss_after_a_repair_or_replacement_loses_no_change"),
+        pytest.param(
+            "tolerated-losses", SEEDS, id="all_disks_that_faults_allows_wiped_after_an_acknowledgement"
+        ),
         pytest.param(
             "wiped-after-ack", SEEDS, id="power_loss_and_one_wiped_disk_right_after_an_acknowledgement"
         ),
@@ -50,6 +53,12 @@
     assert acknowledged > 5 * seeds
 
 
+@pytest.mark.parametrize("sizes", [(3, 2), (4, 2)])
+def test_the_losses_of_faults_are_not_tolerated_by_too_few_voters(sizes: tuple[int, int]) -> None:
+    """As on the small deployments with the share of controllers that their deploy file had before."""
+    assert any(tolerated_losses(seed, (sizes,)).violations for seed in range(3))
+
+
 def test_a_seed_replays_exactly() -> None:
     first, second = FAULT_SCHEDULES["drawn"](3), FAULT_SCHEDULES["drawn"](3)
     assert first.cluster.transcript_lines == second.cluster.transcript_lines
