A controller's log writer goes on after any failure of a write

Callers would see: a controller that never acknowledges anything again, and whose vote counts for no write. Not seen; found by reading every task of a process.

Cause: the writer retried after an OSError; any other exception ended its task, and nothing noticed. Change: any failed write is retried as a new generation. Evidence: the test failed before (time-out), passes after.

--- a/lapisgrade/gateway/controller/log_writer.py
+++ b/lapisgrade/gateway/controller/log_writer.py
@@ -96,9 +96,9 @@
             self._must_renew = True
         try:
             last_entry = await (self._renew() if self._must_renew else self._append(batch))
-        except OSError as error:
+        except Exception as error:  # without its writer, a controller would never acknowledge anything again
             if not self._last_failed:
-                log.warning("write to the log failed and is retried: %s", error)
+                log.warning("write to the log failed and is retried: %s", error or repr(error))
             self._must_renew = True
             self._last_failed = True
             self._metrics.disk_write_failures += 1
