--- a/lapisgrade/gateway/proxy/client_front.py
+++ b/lapisgrade/gateway/proxy/client_front.py
@@ -44,6 +44,7 @@
             None,
             max_connections,
         )
+        self.log_failure = context.log_failure
         self._metrics = context.metrics
         self._router = router
 
--- a/lapisgrade/gateway/proxy/context.py
+++ b/lapisgrade/gateway/proxy/context.py
@@ -8,8 +8,10 @@
 
 from lapisgrade.gateway.proxy.metrics import ProxyMetrics
 from lapisgrade.gateway.settings import Settings
+from lapisgrade.net.rate_limited_log import RateLimitedLog
 
 log = logging.getLogger("proxy")
+_failure_log = RateLimitedLog("proxy", log.error)
 
 
 class ProxyContext(msgspec.Struct):
@@ -33,3 +35,7 @@
         """Log a diagnostic line at the level DEBUG and count it."""
         self.metrics.diagnostics += 1
         log.debug("%s", text)
+
+    def log_failure(self, text: str) -> None:
+        """Log an exception that this process has contained, at the level ERROR and with a limited rate."""
+        _failure_log.write(text)
--- a/lapisgrade/gateway/proxy/process.py
+++ b/lapisgrade/gateway/proxy/process.py
@@ -83,6 +83,7 @@
             context.log_diagnostic,
             context.metrics.transport,
         )
+        self.host.log_failure = context.log_failure
         self.router: Router = self.host.policy
         sockets = max(MIN_SOCKETS, settings.caps.nofile - RESERVED_FILES)
         self.client_front = ClientFront(context, self.host, self.router, sockets // 2)
--- a/lapisgrade/gateway/proxy/quota_transport.py
+++ b/lapisgrade/gateway/proxy/quota_transport.py
@@ -1,7 +1,6 @@
 """RPC calls for quotas between proxies: adds to a tenant's count at its owner, and hand-overs of counts."""
 
 import asyncio
-import logging
 import traceback
 from collections.abc import Coroutine
 from typing import Any
@@ -22,10 +21,6 @@
 from lapisgrade.interface import AddToCounter
 from lapisgrade.net.close_reason import CloseReason
 from lapisgrade.net.events import CounterCallFinished
-from lapisgrade.net.rate_limited_log import RateLimitedLog
-
-log = logging.getLogger("proxy")
-_failure_log = RateLimitedLog("proxy", log.error)
 
 ADD_TIMEOUT_S = 0.15  # time-out of an add: two round trips between zones, with a margin for busy machines
 RETRY_DELAY_S = 0.015  # delay before an add is retried because the owner has another membership
@@ -86,7 +81,7 @@
             await self._add_at_owner(task, request)
         except Exception:
             self._context.metrics.quota_calls_failed += 1
-            _failure_log.write(f"an add to a quota's count failed: {traceback.format_exc()}")
+            self._context.log_failure(f"an add to a quota's count failed: {traceback.format_exc()}")
             self._finish(task, CloseReason.TIMED_OUT)  # the owner may have counted it
 
     async def _add_at_owner(self, task: Task, request: rpc_messages.QuotaRequest) -> None:
--- a/lapisgrade/gateway/proxy/server_pool.py
+++ b/lapisgrade/gateway/proxy/server_pool.py
@@ -34,6 +34,7 @@
             max_connections,
             UpstreamProtocol(),
         )
+        self.log_failure = context.log_failure
         self._metrics = context.metrics
         self._idle_connections = idle_connections
 
--- a/lapisgrade/gateway/proxy/watch_client.py
+++ b/lapisgrade/gateway/proxy/watch_client.py
@@ -17,10 +17,8 @@
 from lapisgrade.gateway.rpc import RpcEndpoint
 from lapisgrade.gateway.settings import parse_address
 from lapisgrade.gateway.watch_timing import LONG_POLL_US
-from lapisgrade.net.rate_limited_log import RateLimitedLog
 
 log = logging.getLogger("proxy")
-_failure_log = RateLimitedLog("proxy", log.error)
 
 REPLY_TIMEOUT_S = LONG_POLL_US / SECOND + 0.35  # time-out of a watch request: the leader's delay and 0.35 s
 RETRY_DELAY_S = 0.05  # delay before the next controller is tried
@@ -78,7 +76,7 @@
                 was_applied = False
             except Exception:
                 self._context.metrics.watch_failures += 1
-                _failure_log.write(f"a watch request failed: {traceback.format_exc()}")
+                self._context.log_failure(f"a watch request failed: {traceback.format_exc()}")
                 was_applied = False
             if not was_applied:
                 await asyncio.sleep(RETRY_DELAY_S)
--- a/lapisgrade/net/client_connection.py
+++ b/lapisgrade/net/client_connection.py
@@ -203,7 +203,7 @@
                 self._listener.log(f"invalid client request answered with status {error.status}: {error}")
                 return self._listener.reject_malformed(self, error)
             except Exception:
-                self._listener.log(f"a client's request failed: {traceback.format_exc()}")
+                self._listener.log_failure(f"a client's request failed: {traceback.format_exc()}")
                 self._listener.metrics.handler_failures += 1
                 return self.respond_at_once(_INTERNAL_SERVER_ERROR, close=True, reason=CloseReason.MALFORMED)
         if chunk and self.state is ClientState.AWAITING_RESPONSE:
--- a/lapisgrade/net/client_listener.py
+++ b/lapisgrade/net/client_listener.py
@@ -54,7 +54,7 @@
             max_connections: Number of connections beyond which others are evicted or requests rejected.
         """
         self.enqueue = enqueue
-        self.log = log
+        self.log = self.log_failure = log  # `log_failure` writes a log entry about an exception
         self.metrics = metrics
         self.open_request_ids: set[bytes] = set()
         self.clients: dict[ClientConnection, None] = {}  # all open connections, in order of acceptance
--- a/lapisgrade/net/connection_pool.py
+++ b/lapisgrade/net/connection_pool.py
@@ -43,7 +43,7 @@
         """
         self._enqueue = enqueue
         self.now = now
-        self.log = log
+        self.log = self.log_failure = log  # `log_failure` writes a log entry about an exception
         self.metrics = metrics
         self.settings = settings
         self.max_connections = max_connections
--- a/lapisgrade/net/host.py
+++ b/lapisgrade/net/host.py
@@ -60,7 +60,11 @@
 
 
 class Host:
-    """Passes events to the policy in queue order and executes the policy's commands."""
+    """Passes events to the policy in queue order and executes the policy's commands.
+
+    Attributes:
+        log_failure: Writes a log entry about an exception; by default like any other line.
+    """
 
     parse_load_report = staticmethod(parse_load_report)
     # The owner of the host sets these before `run`.
@@ -84,7 +88,7 @@
             metrics: Counters to update.
         """
         self.now = now
-        self._log = log
+        self._log = self.log_failure = log
         self._metrics = metrics
         self._queue: asyncio.Queue[Event] = asyncio.Queue()
         self.enqueue = self._queue.put_nowait
@@ -116,7 +120,7 @@
 
     def _on_failure(self, what: str) -> None:
         """Log and count the exception that is being handled."""
-        self._log(f"{what} failed: {traceback.format_exc()}")
+        self.log_failure(f"{what} failed: {traceback.format_exc()}")
         self._metrics.handler_failures += 1
 
     def _end_failed_operations(self) -> None:
--- a/lapisgrade/net/upstream_connection.py
+++ b/lapisgrade/net/upstream_connection.py
@@ -12,6 +12,7 @@
 """
 
 import asyncio
+import traceback
 from enum import Enum, auto
 from typing import TYPE_CHECKING, Any
 
@@ -142,7 +143,8 @@
         """End the attempt if the connection's task has failed; otherwise it would end at its deadline."""
         if task.cancelled() or task.exception() is None:
             return
-        self._pool.log(f"connection to server {self.server} failed: {task.exception()!r}")
+        trace = "".join(traceback.format_exception(task.exception()))
+        self._pool.log_failure(f"a connection to server {self.server} failed: {trace}")
         is_connecting = self.state is UpstreamState.CONNECTING
         self.close(CloseReason.NOT_SENT if is_connecting else CloseReason.CONNECTION_LOST)
 
--- a/tests/gateway/proxy/test_failures.py
+++ b/tests/gateway/proxy/test_failures.py
@@ -64,7 +64,7 @@
 # Guards against an exception that leaves a request without an answer, or ends the proxy.
 @pytest.mark.parametrize("name", FAILURES)
 async def test_a_failure_ends_its_requests_at_once_and_the_proxy_goes_on(
-    name: str, monkeypatch: pytest.MonkeyPatch
+    name: str, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
 ) -> None:
     configuration = msgspec.json.decode(msgspec.json.encode(SAMPLE))
     if "claim" in name:
@@ -82,4 +82,5 @@
         await send_until_served(site)
         await site.until(lambda: not proxy.host.unanswered and not proxy.router.in_flight())
         assert not proxy._shutdown.is_set()
+        assert "ValueError: injected" in caplog.text
         assert not any(client.is_calling for client in proxy.router.quota_clients.values())
