A soak with many descriptors, changed limits, drained servers and frozen leaders

Checked besides: requests that were denied though all limits in force allowed them, or served though none did; tracebacks in the processes' logs.

The servers of a case have a module of their own.

--- a/lapisgrade/lab/partitions/fleet.py
+++ b/lapisgrade/lab/partitions/fleet.py
@@ -50,6 +50,7 @@
         folder: Settings, logs and data of all processes.
         bootstrap: Whether started processes may bootstrap the cluster; true only for the first start.
         grace: Shutdown grace period of all processes, as in the settings file.
+        nofile: Descriptors that each process may use, as in the settings file.
         sample: Configuration that is applied at the start.
         ip: Address of each machine.
         controllers: Machines that run a controller.
@@ -68,6 +69,7 @@
         controllers: int = 0,
         tenants: list[dict] | None = None,
         grace: str = "3s",
+        nofile: int = 1024,
     ) -> None:
         """Prepare the fleet; `async with` starts it.
 
@@ -78,7 +80,9 @@
             controllers: Number of machines that also run a controller; 0 for all of them.
             tenants: Tenants of the configuration; by default those of the sample.
             grace: Shutdown grace period.
+            nofile: Descriptors that each process may use, as in the settings file.
         """
+        self.nofile = nofile
         self.folder, self.bootstrap, self.grace = folder, True, grace
         self.sample = SAMPLE if tenants is None else {**SAMPLE, "Tenants": tenants}
         self.ip = {f"m{number}": f"127.{net}.0.{number}" for number in range(1, machines + 1)}
@@ -110,6 +114,7 @@
             "Hostname": name, "Ip": ip, "Az": "z", "Bind": bind, "Portrange": [RPC_PORT, RPC_PORT + 15],
             "Peers": [f"{each}:{CONTROL_PORT}" for each in hosts], "Bootstrap": self.bootstrap,
             "Datadir": os.path.join(self.folder, name), "Heartbeat": "300ms", "Slo": {"Grace": self.grace},
+            "Caps": {"Nofile": self.nofile},
         }  # fmt: skip
         with open(f"{path}.new", "w") as file:
             json.dump(settings, file)
--- a/lapisgrade/lab/partitions/operation_clients.py
+++ b/lapisgrade/lab/partitions/operation_clients.py
@@ -27,6 +27,7 @@
 REPEAT_AFTER_SUCCESS_SHARE = 0.3  # probability of each further repeat of an operation that succeeded
 CONCURRENT_REPEAT_SHARE = 0.1  # share of operations whose first two attempts are concurrent
 SHARED_KEY_SHARE = 0.1  # share of operations whose key is used by the other tenant too
+LARGE_BODY_SHARE = 0.6  # share of operations with a body of a random size, if sizes vary
 PATHS = {True: "/claim/1", False: "/stock/1"}  # by whether the request has an operation key
 
 
@@ -88,7 +89,14 @@
 class Client:
     """One client with a connection to each proxy; records its attempts in the history."""
 
-    def __init__(self, fleet: Fleet, history: History, random: Random, tenants: dict[str, str]) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        history: History,
+        random: Random,
+        tenants: dict[str, str],
+        max_body_bytes: int = 0,
+    ) -> None:
         """Create a client.
 
         Args:
@@ -96,7 +104,9 @@
             history: History that attempts are recorded in.
             random: Source of all random choices.
             tenants: API keys by tenant.
+            max_body_bytes: Maximum size of the body of an operation; 0 for a short one.
         """
+        self._max_body_bytes = max_body_bytes
         self._fleet = fleet
         self._history = history
         self._random = random
@@ -154,7 +164,8 @@
 
     async def _attempt(self, tenant: str, key: str, proxy: str) -> Attempt:
         """Send one attempt on the connection to that proxy, and record its end."""
-        attempt = Attempt(f"{self._random.getrandbits(64):016x}", tenant, key, proxy)
+        body = self._body() if key else b""
+        attempt = Attempt(f"{self._random.getrandbits(64):016x}", tenant, key, proxy, len(body))
         self._history.attempts[attempt.try_id] = attempt
         attempt.sent_s = time.monotonic()
         try:
@@ -166,7 +177,7 @@
         attempt.process_id = connection.process_id
         try:
             async with asyncio.timeout(DEADLINE_S + LEEWAY_S):
-                message = await connection.exchange(self._request(attempt))
+                message = await connection.exchange(self._request(attempt, body))
             _record_response(attempt, message)
         except TimeoutError:
             attempt.end = AttemptEnd.TIMED_OUT
@@ -188,10 +199,15 @@
             self._connections[proxy] = connection
         return connection
 
-    def _request(self, attempt: Attempt) -> bytes:
+    def _body(self) -> bytes:
+        """Return the body of an operation: short, or of a random size up to the maximum."""
+        if self._max_body_bytes and self._random.random() < LARGE_BODY_SHARE:
+            return bytes(self._random.randint(1, self._max_body_bytes))
+        return b"order"
+
+    def _request(self, attempt: Attempt, body: bytes) -> bytes:
         """Return the encoded request: a POST with the operation key, or a GET without one."""
         operation_key = f"Op-Key: {attempt.key}\r\n" if attempt.key else ""
-        body = b"order" if attempt.key else b""
         return (
             f"{'POST' if attempt.key else 'GET'} {PATHS[bool(attempt.key)]} HTTP/1.1\r\nHost: a.example\r\n"
             f"Try-Id: {attempt.try_id}\r\nDeadline-Ms: {int(DEADLINE_S * 1000)}\r\n{operation_key}"
--- a/lapisgrade/lab/partitions/operation_faults.py
+++ b/lapisgrade/lab/partitions/operation_faults.py
@@ -8,8 +8,9 @@
 import signal
 import time
 from collections import Counter
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -19,6 +20,7 @@
 from lapisgrade.gateway.http_client import post_to_any
 from lapisgrade.gateway.local_cluster import SAMPLE
 from lapisgrade.lab.partitions.fleet import Fleet
+from lapisgrade.lab.partitions.limit_history import LimitChange, LimitHistory
 from lapisgrade.lab.partitions.operation_history import LEEWAY_S, History
 
 GRACE_PERIOD_S = 6.0  # maximum shutdown time after SIGTERM, as in the operators' deployments
@@ -32,6 +34,7 @@
 SAMPLE_INTERVAL_S = 0.25  # between checks of all processes
 MAX_SAMPLE_DELAY_S = 1.0  # a check that is later than this shows that this process was stalled
 CHANGE_RETRY_INTERVAL_S = 0.3  # between two attempts of a configuration change that is not acknowledged
+MAX_CHANGE_INTERVAL_S = 0.3  # between two changes of a series
 MAX_LOG_LINES = 8  # last lines of the log that are shown of a process that ended by itself
 MAX_RESIDENT_MB = 200  # resident memory of a process; the operators' machines have no more
 MAX_DESCRIPTORS = 475  # open descriptors of a process
@@ -42,6 +45,12 @@
 DISK_FAULTS = {"empty controller": 2}
 BLACKOUTS = {"kill everything": 2}
 CHANGES = {"change configuration": 3}
+LIMIT_CHANGES = {"change limits": 3}
+FREEZES = {"freeze controller": 2}
+
+MAX_FREEZE_S = 1.2  # longer than an election time-out
+MAX_CHANGES_IN_SERIES = 4
+BODY_BYTES_RANGE = (1_000, 48_000)  # smallest and largest limit on bodies
 
 
 @dataclass(slots=True)
@@ -61,6 +70,8 @@
         history: Where killed processes, violations and stalls are recorded.
         random: Source of all random choices.
         injected: Number of injections of each fault.
+        max_descriptors: Maximum number of open descriptors of a process.
+        limits: The limits on requests of all versions that were sent.
         usage: Maximum resource usage of any process.
     """
 
@@ -68,6 +79,8 @@
     history: History
     random: Random
     injected: Counter[str] = field(default_factory=Counter)
+    max_descriptors: int = MAX_DESCRIPTORS
+    limits: LimitHistory = field(default_factory=LimitHistory)
     usage: Usage = field(default_factory=Usage)
     _ended_by_us: set[int] = field(default_factory=set)  # ids of processes whose end is expected or recorded
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -111,6 +124,8 @@
         """Start a fault; one of a controller is skipped while another controller is down."""
         if fault == "change configuration":
             actions = [self._change_configuration()]
+        elif fault == "change limits":
+            actions = [self._change_limits()]
         elif fault == "kill all proxies":
             actions = [self._kill("proxy", name) for name in self.fleet.ip]
         elif fault == "kill everything":
@@ -125,6 +140,7 @@
                 "kill": self._kill,
                 "empty": self._wipe,
                 "reload": self._reload,
+                "freeze": self._freeze,
                 "terminate and kill": self._terminate_and_kill,
             }[action]
             actions = [method(role, name)]
@@ -217,6 +233,16 @@
             if process.returncode is None:
                 process.send_signal(signal.SIGHUP)
 
+    async def _freeze(self, role: str, name: str) -> None:
+        """Stop a process for up to `MAX_FREEZE_S`, so that another leader may be elected."""
+        process = self.fleet.running[role, name]
+        if process.returncode is not None:
+            return
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(self.random.uniform(0.2, MAX_FREEZE_S))
+        if process.returncode is None:
+            process.send_signal(signal.SIGCONT)
+
     async def _restart(self, role: str, name: str, process: asyncio.subprocess.Process) -> None:
         """Restart a process unless that has been done since `process` ended."""
         await asyncio.sleep(self.random.uniform(0, MAX_RESTART_DELAY_S))
@@ -233,13 +259,26 @@
     async def _change_configuration(self) -> None:
         """Send a change of time-outs and routes until it is acknowledged."""
         async with self._change_lock:
-            base, self._newest_version = (
-                self._newest_version,
-                self._newest_version + self.random.randint(1, 5),
-            )
-            body = msgspec.json.encode(self._change(base, self._newest_version))
-            while await post_to_any(self.fleet.controller_addresses, "/-/rpc?call=conf.update", body) != 200:
-                await asyncio.sleep(CHANGE_RETRY_INTERVAL_S)
+            await self._send_change(self._change)
+
+    async def _change_limits(self) -> None:
+        """Raise and lower the limit on bodies in quick succession."""
+        async with self._change_lock:
+            for _ in range(self.random.randint(1, MAX_CHANGES_IN_SERIES)):
+                change = LimitChange(self.random.randint(*BODY_BYTES_RANGE), time.monotonic())
+                self.limits.changes.append(change)
+                caps = {**SAMPLE["Caps"], "BodyBytes": change.body_bytes}
+                await self._send_change(partial(_limits_change, caps))
+                change.acknowledged_s = time.monotonic()
+                await asyncio.sleep(self.random.uniform(0, MAX_CHANGE_INTERVAL_S))
+
+    async def _send_change(self, make_change: Callable[[int, int], dict[str, Any]]) -> None:
+        """Send the change that `make_change` makes of the base and the next version until acknowledged."""
+        base = self._newest_version
+        self._newest_version += self.random.randint(1, 5)
+        body = msgspec.json.encode(make_change(base, self._newest_version))
+        while await post_to_any(self.fleet.controller_addresses, "/-/rpc?call=conf.update", body) != 200:
+            await asyncio.sleep(CHANGE_RETRY_INTERVAL_S)
 
     def _change(self, base: int, version: int) -> dict[str, Any]:
         """Return a change from version `base` with random time-outs of all routes and one added route."""
@@ -256,6 +295,16 @@
 
     # ---- processes
 
+    def find_logged_exceptions(self) -> list[str]:
+        """Return a description of each log with an exception that the process has contained or ended by."""
+        found = []
+        for log in sorted(Path(self.fleet.folder).glob("*.log")):
+            lines = log.read_text(errors="replace").splitlines()
+            ends = [number for number, line in enumerate(lines) if line.startswith("Traceback")]
+            if ends:
+                found.append(f"{log.stem} logged: {' | '.join(lines[max(0, ends[0] - 1) : ends[0] + 20])}")
+        return found
+
     def _check_process(self, role: str, name: str, process: asyncio.subprocess.Process) -> None:
         """Record a process's resource usage, or its unexpected end."""
         if process.returncode is not None:
@@ -294,9 +343,9 @@
         status = (folder / "status").read_text()
         lines = [line for line in status.splitlines() if line.startswith("VmRSS:")]
         resident_mb = int(lines[0].split()[1]) / 1024 if lines else 0.0
-        if descriptors > MAX_DESCRIPTORS >= self.usage.descriptors:
+        if descriptors > self.max_descriptors >= self.usage.descriptors:
             self.history.process_violations.append(
-                f"{process} has {descriptors} open descriptors, more than {MAX_DESCRIPTORS}"
+                f"{process} has {descriptors} open descriptors, more than {self.max_descriptors}"
             )
         if resident_mb > MAX_RESIDENT_MB >= self.usage.resident_mb:
             self.history.process_violations.append(
@@ -304,3 +353,8 @@
             )
         self.usage.descriptors = max(self.usage.descriptors, descriptors)
         self.usage.resident_mb = max(self.usage.resident_mb, resident_mb)
+
+
+def _limits_change(caps: dict[str, Any], base: int, version: int) -> dict[str, Any]:
+    """Return a change of the limits alone."""
+    return {"Ver": version, "Base": base, "Upsert": {"Caps": caps}}
--- a/lapisgrade/lab/partitions/operation_history.py
+++ b/lapisgrade/lab/partitions/operation_history.py
@@ -33,6 +33,7 @@
         tenant: Tenant that sent it.
         key: Operation key; empty for an idempotent look-up.
         proxy: Machine that it was sent to.
+        body_bytes: Size of its body.
         sent_s: Time of sending in s.
         ended_s: Time of its end in s.
         process_id: Process that accepted the connection; 0 if none did.
@@ -47,6 +48,7 @@
     tenant: str
     key: str
     proxy: str
+    body_bytes: int = 0
     sent_s: float = 0.0
     ended_s: float = 0.0
     process_id: int = 0
--- a/lapisgrade/lab/partitions/operations.py
+++ b/lapisgrade/lab/partitions/operations.py
@@ -16,29 +16,34 @@
 from lapisgrade.gateway.local_cluster import SAMPLE
 from lapisgrade.lab.partitions import case_table
 from lapisgrade.lab.partitions.fleet import Fleet
+from lapisgrade.lab.partitions.limit_history import LimitChange
 from lapisgrade.lab.partitions.operation_clients import Client
 from lapisgrade.lab.partitions.operation_faults import (
     BLACKOUTS,
     CHANGES,
     CONTROLLER_FAULTS,
     DISK_FAULTS,
+    FREEZES,
     GRACE_PERIOD_S,
+    LIMIT_CHANGES,
     PROXY_FAULTS,
     FaultInjector,
     Usage,
 )
 from lapisgrade.lab.partitions.operation_history import Attempt, AttemptEnd, History, find_violations
-from lapisgrade.lab.partitions.operation_server import OperationServer
+from lapisgrade.lab.partitions.operation_servers import ServerGroup
+from lapisgrade.lab.partitions.silent_connections import keep_silent_connections
 
 log = logging.getLogger("operations")
 
 MODE = "keyed"  # mode of the operations' route
-SERVER_COUNT = 4  # servers of the route's service, besides the fleet's own one, which is drained
 OPERATION_CLIENTS, LOOKUP_CLIENTS = 8, 4  # number of clients of each kind
 FAULT_COUNT = 20  # default for one run of a case
 CALM_LOAD_S = 8.0  # duration of the load in cases without faults
 LOAD_AFTER_FAULTS_S = 2.0  # duration of the load after the last fault has ended
 SLOTS = 16  # requests that a server runs at once, by default
+DEFAULT_NOFILE = 1024  # descriptors that each process may use
+CROWDED_NOFILE = 4100  # the same in cases with silent connections, as in the operators' deployments
 MAX_SHOWN = 10  # violations shown of one run
 FIRST_NETWORK, NETWORKS = 120, 100  # cases run in 127.120 to 127.219
 TITLES = [
@@ -67,6 +72,9 @@
         server_fault: Fault of all servers, as `FakeServer.fault`.
         machines: Number of machines, each with a proxy.
         controllers: Number of machines that also have a controller.
+        silent_connections: Number of connections at the first machine that never send a request.
+        max_body_bytes: Maximum size of the body of an operation; 0 for a short one.
+        replaces_servers: Whether servers drain and are replaced during the load.
     """
 
     faults: dict[str, int] = field(default_factory=dict)
@@ -75,6 +83,9 @@
     server_fault: str = ""
     machines: int = 5
     controllers: int = 3
+    silent_connections: int = 0
+    max_body_bytes: int = 0
+    replaces_servers: bool = False
 
 
 ALL_FAULTS = PROXY_FAULTS | CONTROLLER_FAULTS | CHANGES
@@ -87,6 +98,13 @@
     "many": Case(ALL_FAULTS, machines=30, controllers=5),
     "emptied": Case(ALL_FAULTS | DISK_FAULTS),
     "blackout": Case(PROXY_FAULTS | CHANGES | BLACKOUTS),
+    "crowded": Case(
+        ALL_FAULTS | LIMIT_CHANGES | FREEZES,
+        machines=4,
+        silent_connections=1_150,
+        max_body_bytes=48_000,
+        replaces_servers=True,
+    ),
     "herd": Case(PROXY_FAULTS | CHANGES | {"kill all proxies": 2}),
 }
 
@@ -151,13 +169,27 @@
         TimeoutError: The fleet didn't start, or its proxies didn't use the case's servers in time.
     """
     case, history, result = CASES[case_name], History(), CaseResult(case_name)
-    fleet = Fleet(net, folder, case.machines, case.controllers, grace=f"{GRACE_PERIOD_S:g}s")
+    nofile = CROWDED_NOFILE if case.silent_connections else DEFAULT_NOFILE
+    fleet = Fleet(net, folder, case.machines, case.controllers, grace=f"{GRACE_PERIOD_S:g}s", nofile=nofile)
     fleet.sample = _sample()
     async with fleet:
         injector = FaultInjector(fleet, history, Random(random.getrandbits(64)))
-        servers = await _start_servers(fleet, case, history, random)
-        watching = asyncio.create_task(injector.watch())
-        clients = [Client(fleet, history, random, TENANTS) for _ in range(OPERATION_CLIENTS + LOOKUP_CLIENTS)]
+        injector.limits.changes.append(LimitChange(SAMPLE["Caps"]["BodyBytes"], 0.0, 0.0))
+        servers = ServerGroup(fleet, case, history, random)
+        await servers.start()
+        background = [asyncio.create_task(injector.watch())]
+        if case.silent_connections:
+            injector.max_descriptors = nofile
+            first_machine = next(iter(fleet.ip))
+            background.append(
+                asyncio.create_task(keep_silent_connections(fleet, first_machine, case.silent_connections))
+            )
+        if case.replaces_servers:
+            background.append(asyncio.create_task(servers.replace_repeatedly()))
+        clients = [
+            Client(fleet, history, random, TENANTS, case.max_body_bytes)
+            for _ in range(OPERATION_CLIENTS + LOOKUP_CLIENTS)
+        ]
         loads = [asyncio.create_task(each.run_operations()) for each in clients[:OPERATION_CLIENTS]]
         loads += [asyncio.create_task(each.run_lookups()) for each in clients[OPERATION_CLIENTS:]]
         try:
@@ -165,13 +197,13 @@
                 await injector.run(case.faults, faults)
             await asyncio.sleep(LOAD_AFTER_FAULTS_S if case.faults else CALM_LOAD_S)
         finally:
-            errors = await _stop([*loads, watching])
-            for server in servers:
-                server.close()
-    result.violations = find_violations(history, MODE == "keyed") + [
-        f"a client failed: {each!r}" for each in errors
-    ]
+            errors = await _stop([*loads, *background])
+            servers.close()
     attempts = [each for each in history.attempts.values() if each.end is not AttemptEnd.CANCELLED]
+    result.violations = find_violations(history, MODE == "keyed")
+    result.violations += injector.limits.find_violations(attempts)
+    result.violations += injector.find_logged_exceptions()
+    result.violations += [f"a client failed: {each!r}" for each in errors]
     result.operations = [each for each in attempts if each.key]
     result.lookups = [each for each in attempts if not each.key]
     result.runs, result.injected = len(history.runs), injector.injected
@@ -179,29 +211,6 @@
     return result
 
 
-async def _start_servers(fleet: Fleet, case: Case, history: History, random: Random) -> list[OperationServer]:
-    """Start the servers, drain the fleet's own one, and wait until all proxies use the new ones."""
-    servers = []
-    for number in range(2, SERVER_COUNT + 2):
-        address = (f"{fleet.server.address[0].rsplit('.', 1)[0]}.{number}", fleet.server.address[1])
-        server = OperationServer(f"i-{number}", address, history, random, case.slots, case.has_server_faults)
-        server.fault = case.server_fault
-        await server.start()
-        fleet.tasks.append(asyncio.create_task(fleet.send_heartbeats(server)))
-        servers.append(server)
-    fleet.server.state = "drain"
-
-    async def has_every_proxy_used_them() -> bool:
-        before = len(history.runs)
-        for name in fleet.ip:
-            await fleet.call(name, "a.example", "/stock/1", TENANTS["sfax"])
-        return len(history.runs) - before == len(fleet.ip)
-
-    await fleet.wait_until(has_every_proxy_used_them)
-    history.runs.clear()
-    return servers
-
-
 async def _stop(tasks: list[asyncio.Task[None]]) -> list[BaseException]:
     """Cancel tasks; return the errors of those that had failed."""
     for task in tasks:
--- a/tests/lab/partitions/test_operations.py
+++ b/tests/lab/partitions/test_operations.py
@@ -8,12 +8,13 @@
 from support.loopback_network import LoopbackNetwork
 
 from lapisgrade.lab.partitions import operations
+from lapisgrade.lab.partitions.limit_history import APPLY_S, LimitChange, LimitHistory
 from lapisgrade.lab.partitions.operation_history import Attempt, AttemptEnd, History, Run, find_violations
 
 FAULT_COUNT = 6  # less than a third of the default of `lapisgrade lab partitions operations`
 
 
-@pytest.mark.parametrize(("seed", "case"), [(1, "signals"), (2, "herd")])
+@pytest.mark.parametrize(("seed", "case"), [(1, "signals"), (2, "herd"), (3, "crowded"), (4, "crowded")])
 async def test_overlapping_signals_and_changes_break_no_guarantee(
     seed: int, case: str, loopback_network: LoopbackNetwork, tmp_path: Path
 ) -> None:
@@ -115,3 +116,29 @@
     assert len(find_violations(history, has_keys=True)) == 1
     history.stalls = [(11.0, 16.5)]
     assert find_violations(history, has_keys=True) == []
+
+
+def attempt_with_body(size: int, sent_s: float, status: int) -> Attempt:
+    """Return an answered attempt with a body of that size, which took a tenth of a second."""
+    attempt = answered("a", 1, status)
+    attempt.body_bytes, attempt.sent_s, attempt.ended_s = size, sent_s, sent_s + 0.1
+    return attempt
+
+
+def test_only_requests_that_all_limits_in_force_allow_may_not_be_denied() -> None:
+    history = LimitHistory([LimitChange(1000, 0.0, 0.0), LimitChange(5000, 10.0, 11.0)])
+    settled_s = 11.0 + APPLY_S + 0.1
+    for size, sent_s, status, is_violation in (
+        (1000, 5.0, 413, True),
+        (1001, 5.0, 413, False),
+        (1001, 5.0, 200, True),
+        (1001, 10.5, 413, False),  # either limit may be in force
+        (1001, 10.5, 200, False),
+        (900, 10.5, 431, True),
+        (1001, settled_s, 413, True),
+        (5000, settled_s, 200, False),
+        (5001, settled_s, 413, False),
+        (5001, settled_s, 200, True),
+    ):
+        violations = history.find_violations([attempt_with_body(size, sent_s, status)])
+        assert bool(violations) == is_violation, (size, sent_s, status)
