A request that nothing ends is answered soon after its deadline

The host looks every 0.25 s and answers what is over its deadline by more than 0.25 s with 502, logged and counted in `handler_failures`. Evidence: the test, with an engine that runs nothing, failed before (the client waits for good), passes after.

--- a/lapisgrade/net/host.py
+++ b/lapisgrade/net/host.py
@@ -41,6 +41,10 @@
 from lapisgrade.net.response_writer import ResponseWriter
 from lapisgrade.net.server_protocol import parse_load_report
 
+OVERDUE_CHECK_INTERVAL_S = 0.25  # interval between checks for operations beyond their deadline
+MAX_OVERDUE_US = (
+    250_000  # time after its deadline in which an operation's own timer ends it, on a busy machine
+)
 _TOO_MANY_REQUESTS = 429
 _BAD_GATEWAY = 502
 
@@ -96,6 +100,7 @@
         self.engine = Engine(self, self.clock, self)
         self.policy = build_policy(self.clock)
         self.unanswered: dict[ClientRequest, Operation] = {}  # operations awaiting a final response
+        self._overdue_check: asyncio.TimerHandle  # set by `run`
         self._wakeup_us = 0  # time of the most recently requested wake-up
 
     async def run(self) -> None:
@@ -109,14 +114,18 @@
             ServersUpdated: self._on_servers_updated,
             TimerFired: self._on_timer_fired,
         }
-        while True:
-            event = await self._queue.get()
-            self.clock.now_us = max(self.clock.now_us, self.now())
-            try:
-                handlers[type(event)](event)
-            except Exception:
-                self._on_failure(f"handler of {type(event).__name__}")
-                self._end_failed_operations()
+        self._end_overdue_operations()
+        try:
+            while True:
+                event = await self._queue.get()
+                self.clock.now_us = max(self.clock.now_us, self.now())
+                try:
+                    handlers[type(event)](event)
+                except Exception:
+                    self._on_failure(f"handler of {type(event).__name__}")
+                    self._end_failed_operations()
+        finally:
+            self._overdue_check.cancel()
 
     def _on_failure(self, what: str) -> None:
         """Log and count the exception that is being handled."""
@@ -129,6 +138,20 @@
             if operation.task is None or operation.task.is_finished:
                 self._end_operation(operation)
 
+    def _end_overdue_operations(self) -> None:
+        """Answer operations that nothing has ended although their time is over; schedule the next check.
+
+        Their generators have timers of their own, so that only a fault of this program leaves one.
+        """
+        self._overdue_check = asyncio.get_running_loop().call_later(
+            OVERDUE_CHECK_INTERVAL_S, self._end_overdue_operations
+        )
+        latest_us = self.now() - MAX_OVERDUE_US
+        for operation in [each for each in self.unanswered.values() if each.deadline_us < latest_us]:
+            self.log_failure("an operation was not ended by its deadline")
+            self._metrics.handler_failures += 1
+            self._end_operation(operation)
+
     def _end_operation(self, operation: Operation) -> None:
         """Answer an operation without its generator, and wake that generator so that it ends too."""
         self.unanswered.pop(operation.handle, None)
--- a/tests/gateway/proxy/test_failures.py
+++ b/tests/gateway/proxy/test_failures.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -84,3 +85,21 @@
         assert not proxy._shutdown.is_set()
         assert "ValueError: injected" in caplog.text
         assert not any(client.is_calling for client in proxy.router.quota_clients.values())
+
+
+# Guards against any other cause that leaves a request with neither an answer nor a time-out.
+async def test_a_request_that_nothing_ends_is_answered_soon_after_its_deadline(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with serving_cluster() as site:
+        await send_until_served(site)
+        proxy = site.proxies["m1"]
+        calls = ("run", "wake", "run_due_timers", "attempt_finished", "counter_replied", "call_finished")
+        idle_engine = SimpleNamespace(**dict.fromkeys(calls, lambda *_, **__: None))
+        monkeypatch.setattr(proxy.host, "engine", idle_engine)
+        loop = asyncio.get_running_loop()
+        sent_s = loop.time()
+        response = await site.get("m1", "/stock/1", KEY, tries=1, **{"Deadline-Ms": "600"})
+        assert response.head.status_code == 502
+        assert 0.5 < loop.time() - sent_s < 0.6 + 0.5 + 0.25
+        assert proxy.context.metrics.transport.handler_failures == 1
