Split the process monitor from the fault injector of lab partitions

`operation_faults` injected faults and watched processes in one class. `process_monitor` has the second job; what is checked and reported is the same.

--- a/lapisgrade/lab/partitions/operation_faults.py
+++ b/lapisgrade/lab/partitions/operation_faults.py
@@ -1,7 +1,6 @@
 """Random, overlapping signals, restarts and configuration changes, for cases of keyed operations."""
 
 import asyncio
-import contextlib
 import math
 import os
 import shutil
@@ -11,7 +10,6 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from functools import partial
-from pathlib import Path
 from random import Random
 from typing import Any
 
@@ -22,6 +20,7 @@
 from lapisgrade.lab.partitions.fleet import Fleet
 from lapisgrade.lab.partitions.limit_history import LimitChange, LimitHistory
 from lapisgrade.lab.partitions.operation_history import LEEWAY_S, History
+from lapisgrade.lab.partitions.process_monitor import ProcessMonitor
 
 GRACE_PERIOD_S = 6.0  # maximum shutdown time after SIGTERM, as in the operators' deployments
 STARTUP_S = 3.0  # maximum time from a process's start until it has loaded its code, on a busy machine
@@ -31,13 +30,8 @@
 MAX_RESTART_DELAY_S = 0.5  # from the end of a process until its restart
 MAX_FAULT_INTERVAL_S = 0.8  # from one fault to the next
 MASS_KILL_PAUSE_S = 3.0  # after all proxies or all processes are killed at once
-SAMPLE_INTERVAL_S = 0.25  # between checks of all processes
-MAX_SAMPLE_DELAY_S = 1.0  # a check that is later than this shows that this process was stalled
 CHANGE_RETRY_INTERVAL_S = 0.3  # between two attempts of a configuration change that is not acknowledged
 MAX_CHANGE_INTERVAL_S = 0.3  # between two changes of a series
-MAX_LOG_LINES = 8  # last lines of the log that are shown of a process that ended by itself
-MAX_RESIDENT_MB = 200  # resident memory of a process; the operators' machines have no more
-MAX_DESCRIPTORS = 475  # open descriptors of a process
 
 # Relative frequency of each fault: an action and the role of the process, or a special fault.
 PROXY_FAULTS = {"terminate proxy": 3, "kill proxy": 2, "reload proxy": 2, "terminate and kill proxy": 1}
@@ -53,36 +47,25 @@
 BODY_BYTES_RANGE = (1_000, 48_000)  # smallest and largest limit on bodies
 
 
-@dataclass(slots=True)
-class Usage:
-    """Maximum resource usage of any process: resident memory in MiB, and open descriptors."""
-
-    resident_mb: float = 0.0
-    descriptors: int = 0
-
-
 @dataclass(slots=True)
 class FaultInjector:
-    """Injects the faults of one case into a fleet, and monitors its processes.
+    """Injects the faults of one case into a fleet.
 
     Attributes:
         fleet: Fleet under test.
         history: Where killed processes, violations and stalls are recorded.
         random: Source of all random choices.
+        monitor: Monitor of the processes; it learns which ends are expected.
         injected: Number of injections of each fault.
-        max_descriptors: Maximum number of open descriptors of a process.
         limits: The limits on requests of all versions that were sent.
-        usage: Maximum resource usage of any process.
     """
 
     fleet: Fleet
     history: History
     random: Random
+    monitor: ProcessMonitor
     injected: Counter[str] = field(default_factory=Counter)
-    max_descriptors: int = MAX_DESCRIPTORS
     limits: LimitHistory = field(default_factory=LimitHistory)
-    usage: Usage = field(default_factory=Usage)
-    _ended_by_us: set[int] = field(default_factory=set)  # ids of processes whose end is expected or recorded
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
     _locks: dict[tuple[str, str], asyncio.Lock] = field(default_factory=dict)
     # Event loop times: until when a machine that lost its disk counts as down, and restarts by process id.
@@ -107,17 +90,6 @@
         while self._tasks:
             await asyncio.gather(*self._tasks)
 
-    async def watch(self) -> None:
-        """Record resource usage, unexpected exits and stalls of this process, until cancelled."""
-        checked_s = time.monotonic()
-        while True:
-            for (role, name), process in list(self.fleet.running.items()):
-                self._check_process(role, name, process)
-            await asyncio.sleep(SAMPLE_INTERVAL_S)
-            previous_s, checked_s = checked_s, time.monotonic()
-            if checked_s - previous_s > SAMPLE_INTERVAL_S + MAX_SAMPLE_DELAY_S:
-                self.history.stalls.append((previous_s, checked_s))
-
     # ---- faults
 
     def _inject(self, fault: str) -> None:
@@ -165,14 +137,16 @@
         if any(now_s < self._recovering_until_s.get(each, 0.0) for each in others):
             return True
         processes = [self.fleet.running["controller", each] for each in others]
-        return any(each.returncode is not None or each.pid in self._ended_by_us for each in processes)
+        return any(
+            each.returncode is not None or each.pid in self.monitor.expected_ends for each in processes
+        )
 
     async def _terminate(self, role: str, name: str) -> None:
         """Send SIGTERM, check that the process exits with 0 in time, and restart it."""
         process = self.fleet.running[role, name]
         if process.returncode is not None:
             return
-        self._ended_by_us.add(process.pid)
+        self.monitor.expected_ends.add(process.pid)
         process.send_signal(signal.SIGTERM)
         try:
             async with asyncio.timeout(GRACE_PERIOD_S + LEEWAY_S):
@@ -196,7 +170,7 @@
         process = self.fleet.running[role, name]
         if process.returncode is not None:
             return
-        self._ended_by_us.add(process.pid)
+        self.monitor.expected_ends.add(process.pid)
         self.history.killed_ids.add(process.pid)
         process.kill()
         await process.wait()
@@ -205,10 +179,10 @@
     async def _wipe(self, role: str, name: str) -> None:
         """Kill a controller, delete its data and restart it; it counts as down for another `RECOVERY_S`."""
         process = self.fleet.running[role, name]
-        if process.returncode is not None or process.pid in self._ended_by_us:
+        if process.returncode is not None or process.pid in self.monitor.expected_ends:
             return  # it is ending, and may be restarted on its disk at any moment
         self._recovering_until_s[name] = math.inf
-        self._ended_by_us.add(process.pid)
+        self.monitor.expected_ends.add(process.pid)
         self.history.killed_ids.add(process.pid)
         process.kill()
         await process.wait()
@@ -251,6 +225,19 @@
                 await self.fleet.start(role, name)
                 self._started_s[self.fleet.running[role, name].pid] = asyncio.get_running_loop().time()
 
+    def on_unexpected_end(self, role: str, name: str, process: asyncio.subprocess.Process) -> None:
+        """Record a process that ended by itself, and restart it.
+
+        Only a SIGHUP before the interpreter ran any of our code may end a process.
+        """
+        if process.returncode == -signal.SIGHUP and self._is_starting(process):
+            self.injected["SIGHUP before the interpreter had started"] += 1
+        else:
+            log_tail = self.monitor.log_tail(role, name)
+            violation = f"{role} of {name} exited unexpectedly with status {process.returncode}: {log_tail}"
+            self.history.process_violations.append(violation)
+        self._start_task(self._restart(role, name, process))
+
     def _is_starting(self, process: asyncio.subprocess.Process) -> bool:
         """Return whether the process was restarted so recently that it may not have loaded its code."""
         started_s = self._started_s.get(process.pid, 0.0)
@@ -293,67 +280,6 @@
         upsert = {"Ports": [{"Vhost": "a.example", "Policy": [*rules, added]}]}
         return {"Ver": version, "Base": base, "Upsert": upsert}
 
-    # ---- processes
-
-    def find_logged_exceptions(self) -> list[str]:
-        """Return a description of each log with an exception that the process has contained or ended by."""
-        found = []
-        for log in sorted(Path(self.fleet.folder).glob("*.log")):
-            lines = log.read_text(errors="replace").splitlines()
-            ends = [number for number, line in enumerate(lines) if line.startswith("Traceback")]
-            if ends:
-                found.append(f"{log.stem} logged: {' | '.join(lines[max(0, ends[0] - 1) : ends[0] + 20])}")
-        return found
-
-    def _check_process(self, role: str, name: str, process: asyncio.subprocess.Process) -> None:
-        """Record a process's resource usage, or its unexpected end."""
-        if process.returncode is not None:
-            if process.pid not in self._ended_by_us:
-                self._ended_by_us.add(process.pid)
-                self._on_unexpected_end(role, name, process)
-            return
-        with contextlib.suppress(OSError):  # it ended during the check
-            self._record_usage(f"{role} of {name}", Path("/proc") / str(process.pid))
-
-    def _on_unexpected_end(self, role: str, name: str, process: asyncio.subprocess.Process) -> None:
-        """Record a process that ended by itself, and restart it.
-
-        Only a SIGHUP before the interpreter ran any of our code may end a process.
-        """
-        if process.returncode == -signal.SIGHUP and self._is_starting(process):
-            self.injected["SIGHUP before the interpreter had started"] += 1
-        else:
-            log_tail = self._log_tail(role, name)
-            violation = f"{role} of {name} exited unexpectedly with status {process.returncode}: {log_tail}"
-            self.history.process_violations.append(violation)
-        self._start_task(self._restart(role, name, process))
-
-    def _log_tail(self, role: str, name: str) -> str:
-        """Return the last `MAX_LOG_LINES` lines of a process's log as one line."""
-        log = Path(self.fleet.folder) / f"{name}-{role}.log"
-        return " | ".join(log.read_text(errors="replace").splitlines()[-MAX_LOG_LINES:])
-
-    def _record_usage(self, process: str, folder: Path) -> None:
-        """Record the usage of the process with the /proc folder `folder`; report the first excess of a limit.
-
-        Raises:
-            OSError: The process has ended.
-        """
-        descriptors = len(os.listdir(folder / "fd"))
-        status = (folder / "status").read_text()
-        lines = [line for line in status.splitlines() if line.startswith("VmRSS:")]
-        resident_mb = int(lines[0].split()[1]) / 1024 if lines else 0.0
-        if descriptors > self.max_descriptors >= self.usage.descriptors:
-            self.history.process_violations.append(
-                f"{process} has {descriptors} open descriptors, more than {self.max_descriptors}"
-            )
-        if resident_mb > MAX_RESIDENT_MB >= self.usage.resident_mb:
-            self.history.process_violations.append(
-                f"{process} uses {resident_mb:.0f} MB, more than {MAX_RESIDENT_MB}"
-            )
-        self.usage.descriptors = max(self.usage.descriptors, descriptors)
-        self.usage.resident_mb = max(self.usage.resident_mb, resident_mb)
-
 
 def _limits_change(caps: dict[str, Any], base: int, version: int) -> dict[str, Any]:
     """Return a change of the limits alone."""
--- a/lapisgrade/lab/partitions/operations.py
+++ b/lapisgrade/lab/partitions/operations.py
@@ -28,10 +28,10 @@
     LIMIT_CHANGES,
     PROXY_FAULTS,
     FaultInjector,
-    Usage,
 )
 from lapisgrade.lab.partitions.operation_history import Attempt, AttemptEnd, History, find_violations
 from lapisgrade.lab.partitions.operation_servers import ServerGroup
+from lapisgrade.lab.partitions.process_monitor import ProcessMonitor, Usage
 from lapisgrade.lab.partitions.silent_connections import keep_silent_connections
 
 log = logging.getLogger("operations")
@@ -173,13 +173,15 @@
     fleet = Fleet(net, folder, case.machines, case.controllers, grace=f"{GRACE_PERIOD_S:g}s", nofile=nofile)
     fleet.sample = _sample()
     async with fleet:
-        injector = FaultInjector(fleet, history, Random(random.getrandbits(64)))
+        monitor = ProcessMonitor(fleet, history)
+        injector = FaultInjector(fleet, history, Random(random.getrandbits(64)), monitor)
+        monitor.on_unexpected_end = injector.on_unexpected_end
         injector.limits.changes.append(LimitChange(SAMPLE["Caps"]["BodyBytes"], 0.0, 0.0))
         servers = ServerGroup(fleet, case, history, random)
         await servers.start()
-        background = [asyncio.create_task(injector.watch())]
+        background = [asyncio.create_task(monitor.run())]
         if case.silent_connections:
-            injector.max_descriptors = nofile
+            monitor.max_descriptors = nofile
             first_machine = next(iter(fleet.ip))
             background.append(
                 asyncio.create_task(keep_silent_connections(fleet, first_machine, case.silent_connections))
@@ -202,12 +204,12 @@
     attempts = [each for each in history.attempts.values() if each.end is not AttemptEnd.CANCELLED]
     result.violations = find_violations(history, MODE == "keyed")
     result.violations += injector.limits.find_violations(attempts)
-    result.violations += injector.find_logged_exceptions()
+    result.violations += monitor.find_logged_exceptions()
     result.violations += [f"a client failed: {each!r}" for each in errors]
     result.operations = [each for each in attempts if each.key]
     result.lookups = [each for each in attempts if not each.key]
     result.runs, result.injected = len(history.runs), injector.injected
-    result.usage, result.stalls = injector.usage, len(history.stalls)
+    result.usage, result.stalls = monitor.usage, len(history.stalls)
     return result
 
 
--- a/lapisgrade/net/host.py
+++ b/lapisgrade/net/host.py
@@ -42,9 +42,7 @@
 from lapisgrade.net.server_protocol import parse_load_report
 
 OVERDUE_CHECK_INTERVAL_S = 0.25  # interval between checks for operations beyond their deadline
-MAX_OVERDUE_US = (
-    250_000  # time after its deadline in which an operation's own timer ends it, on a busy machine
-)
+MAX_OVERDUE_US = 250_000  # time after its deadline in which an operation's own timer ends it
 _TOO_MANY_REQUESTS = 429
 _BAD_GATEWAY = 502
 
