--- a/lapisgrade/lab/partitions/process_monitor.py
+++ b/lapisgrade/lab/partitions/process_monitor.py
@@ -1,4 +1,4 @@
-"""Monitors the processes of a fleet: resource usage, unexpected ends, logged exceptions, and stalls of its own."""
+"""Monitors the processes of a fleet: resource usage, unexpected ends, logged exceptions, and own stalls."""
 
 import asyncio
 import contextlib
