A process that ends opens no further connections

No caller noticed.

Cause: reports of load go on by a timer that nothing stopped at the end, and a closed endpoint still opened connections; a task begun while the loop ends is destroyed in the middle. Change: the reports stop, and a closed endpoint opens nothing. Evidence: both tests failed before, pass after.

--- a/lapisgrade/gateway/proxy/load_reporter.py
+++ b/lapisgrade/gateway/proxy/load_reporter.py
@@ -21,9 +21,18 @@
         self._router = router
         self._rpc = rpc
         self._timer: asyncio.TimerHandle | None = None
+        self._is_closed = False
+
+    def close(self) -> None:
+        """Send no further reports."""
+        self._is_closed = True
+        if self._timer is not None:
+            self._timer.cancel()
 
     def on_change(self) -> None:
         """Schedule a report; changes within the batch delay share one report."""
+        if self._is_closed:
+            return
         loop = asyncio.get_running_loop()
         if self._timer is None or self._timer.when() - loop.time() > BATCH_DELAY_S:
             if self._timer is not None:
--- a/lapisgrade/gateway/proxy/process.py
+++ b/lapisgrade/gateway/proxy/process.py
@@ -222,6 +222,7 @@
         return bool(self.host.unanswered or has_runs or self.operation_transport.waiting_replies)
 
     def _close(self) -> None:
+        self.load_reporter.close()
         self.client_front.close()
         self.pool.close()
         self.readiness.close()
--- a/lapisgrade/gateway/rpc.py
+++ b/lapisgrade/gateway/rpc.py
@@ -59,6 +59,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._connections: set[Connection] = set()
         self._server: asyncio.Server | None = None
+        self._is_closed = False
         self.metrics = RpcMetrics()
 
     async def listen(self, address: tuple[str, int]) -> None:
@@ -82,6 +83,8 @@
             if len(self._peers) >= MAX_PEERS:  # bounds descriptors: closes the peer that was added first
                 self._peers.pop(next(iter(self._peers))).close()
             peer = self._peers[address] = Peer(self._codec, address)
+            if self._is_closed:
+                peer.close()
         return peer
 
     async def call(
@@ -96,7 +99,8 @@
         self.peer(address).post(message)
 
     def close(self) -> None:
-        """Stop listening, and close all connections."""
+        """Stop listening, close all connections, and open no new ones."""
+        self._is_closed = True
         if self._server is not None:
             self._server.close()
         for peer in self._peers.values():
--- a/lapisgrade/gateway/rpc_peer.py
+++ b/lapisgrade/gateway/rpc_peer.py
@@ -29,6 +29,7 @@
         self._unsent: list[tuple[int, Any]] = []  # numbers and messages queued for a connection
         self._last_number = 0
         self.is_refusing = False
+        self._is_closed = False
 
     def post(self, message: Any) -> None:
         """Send a message that gets no reply; it may be lost."""
@@ -60,7 +61,8 @@
         return CallFailure.MAY_HAVE_RUN if was_sent else CallFailure.NOT_RUN
 
     def close(self) -> None:
-        """Close the connection; unanswered calls fail."""
+        """Close the connection; unanswered calls fail, and no new connection is opened."""
+        self._is_closed = True
         if self._connecting is not None:
             self._connecting.cancel()
         self._disconnect()
@@ -75,7 +77,7 @@
             return
         if len(self._unsent) < MAX_UNSENT_MESSAGES:
             self._unsent.append((number, message))
-        if self._connecting is None:
+        if self._connecting is None and not self._is_closed:
             self._connecting = asyncio.get_running_loop().create_task(self._connect())
 
     async def _connect(self) -> None:
--- a/tests/gateway/proxy/test_failures.py
+++ b/tests/gateway/proxy/test_failures.py
@@ -103,3 +103,16 @@
         assert response.head.status_code == 502
         assert 0.5 < loop.time() - sent_s < 0.6 + 0.5 + 0.25
         assert proxy.context.metrics.transport.handler_failures == 1
+
+
+async def test_a_proxy_sends_no_load_reports_after_its_end() -> None:
+    async with serving_cluster() as site:
+        proxy = site.proxies["m1"]
+        await site.kill(proxy)
+        sent_before = proxy.rpc.metrics.calls_sent
+        tasks = asyncio.all_tasks()
+        proxy.load_reporter.on_change()
+        await asyncio.sleep(0.05)
+        assert proxy.load_reporter._timer is None or proxy.load_reporter._timer.cancelled()
+        assert asyncio.all_tasks() <= tasks
+        assert proxy.rpc.metrics.calls_sent == sent_before
--- a/tests/gateway/test_rpc.py
+++ b/tests/gateway/test_rpc.py
@@ -272,3 +272,18 @@
         assert callee.metrics.calls_received == 2
 
     run(scenario)
+
+
+# Guards against a connection that is opened while the process ends, and is left behind with a traceback.
+async def test_a_closed_endpoint_opens_no_connection() -> None:
+    endpoint, caller = RpcEndpoint(UNION, answer), RpcEndpoint(UNION, answer)
+    address = ("127.0.0.1", free_port())
+    await endpoint.listen(address)
+    assert isinstance(await caller.call(address, Question("a"), TIMEOUT_S), Success)
+    caller.close()
+    tasks = asyncio.all_tasks()
+    caller.post(address, Question("b"))
+    caller.post(("127.0.0.2", address[1]), Question("c"))
+    assert await caller.call(address, Question("d"), SHORT_TIMEOUT_S) == Failure(CallFailure.NOT_RUN)
+    assert asyncio.all_tasks() <= tasks
+    endpoint.close()
