--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -261,6 +261,15 @@
     assert setup.events == ["cleaned up", "handled"]
 
 
+def test_an_operation_whose_generator_yields_no_command_is_finished(setup: Setup) -> None:
+    def wrong():
+        yield "no command"
+
+    with pytest.raises(TypeError, match="no command"):
+        setup.engine.run(wrong(), operation := setup.operation())
+    assert operation.task.is_finished
+
+
 def test_a_failed_task_doesnt_keep_other_ready_tasks_from_being_resumed(setup: Setup) -> None:
     def spawned(number: int):
         setup.events.append(number)
