--- a/lapisgrade/lab/partitions/operation_faults.py
+++ b/lapisgrade/lab/partitions/operation_faults.py
@@ -117,6 +117,8 @@
             }[action]
             actions = [method(role, name)]
         self.injected[fault] += 1
+        if fault.endswith(" controller"):
+            self.limits.controller_faults_s.append(time.monotonic())
         for each in actions:
             self._start_task(each)
 
