--- a/lapisgrade/gateway/controller/watch_service.py
+++ b/lapisgrade/gateway/controller/watch_service.py
@@ -17,7 +17,7 @@
 from lapisgrade.gateway.controller.watch import Watch, without_known_servers
 from lapisgrade.gateway.registry import Server
 from lapisgrade.gateway.rpc_peer import CONNECT_TIMEOUT_S
-from lapisgrade.gateway.settings import parse_address
+from lapisgrade.gateway.settings import is_valid_address, parse_address
 from lapisgrade.gateway.watch_timing import LONG_POLL_US
 
 MAX_PROBES = 16  # maximum number of proxies that are probed for one request
@@ -58,7 +58,7 @@
     async def handle_watch(self, request: rpc_messages.WatchRequest) -> rpc_messages.WatchReply:
         """Return the updates for a proxy, or after `LONG_POLL_US` a reply without updates."""
         self._metrics.watch_requests += 1
-        if request.proxy and not _is_address(request.address):
+        if request.proxy and not is_valid_address(request.address):
             self._metrics.invalid_peer_addresses += 1
             return self._redirect()  # not recorded: other proxies would call it
         self._probe_refusing_proxies(request.unreachable_proxies)
@@ -175,15 +175,6 @@
         changed.set()
 
 
-def _is_address(text: str) -> bool:
-    """Return whether other processes can call this address."""
-    try:
-        parse_address(text)
-    except ValueError:
-        return False
-    return True
-
-
 def fan_out_interval_us(proxy_count: int) -> int:
     """Return the minimum interval between rounds of replies: twice the CPU time of one round.
 
--- a/lapisgrade/gateway/operations/claim_batches.py
+++ b/lapisgrade/gateway/operations/claim_batches.py
@@ -11,7 +11,7 @@
     OperationRecord,
     OperationTable,
 )
-from lapisgrade.gateway.settings import parse_address
+from lapisgrade.gateway.settings import is_valid_address
 
 MAX_BATCH_CLAIMS = 256  # maximum claims in one log entry; at most 128 KB, which fits into one message
 # Maximum number of claims that wait for a batch: a few seconds of claims. The reply to further ones is that
@@ -26,7 +26,7 @@
     has_names = all(0 < _size(name) <= MAX_NAME_BYTES for name in names)
     has_key = 0 < _size(claim.key) <= MAX_KEY_BYTES
     is_bounded = _size(claim.tenant) <= MAX_TENANT_BYTES and _size(claim.replaces) <= MAX_NAME_BYTES
-    return has_names and has_key and is_bounded and _is_address(claim.owner)
+    return has_names and has_key and is_bounded and is_valid_address(claim.owner)
 
 
 def known_holder(table: OperationTable, claim: Claim, oldest_us: int) -> OperationRecord | None:
@@ -74,11 +74,3 @@
 
 def _size(text: str) -> int:
     return len(text.encode())
-
-
-def _is_address(text: str) -> bool:
-    try:
-        parse_address(text)
-    except ValueError:
-        return False
-    return True
--- a/lapisgrade/gateway/settings.py
+++ b/lapisgrade/gateway/settings.py
@@ -176,6 +176,15 @@
     return Address((host, int(port)))
 
 
+def is_valid_address(text: str) -> bool:
+    """Return whether `parse_address` accepts the text."""
+    try:
+        parse_address(text)
+    except ValueError:
+        return False
+    return True
+
+
 def wire_name(name: str) -> str:
     """Return the key of a field in files: `RetryRatio` for `retry_ratio`."""
     return "".join(part.capitalize() for part in name.split("_"))
