Controllers count and log staged versions that are dropped before their activation

Each controller now notices it, the leader or not: VersionActivation.observe compares the staged versions after each applied entry with those before it. on_applied is called on every controller for that.

No behaviour changes. Test: test_versions_that_are_dropped_before_their_activation_are_reported.

--- a/lapisgrade/gateway/controller/consensus_driver.py
+++ b/lapisgrade/gateway/controller/consensus_driver.py
@@ -51,8 +51,12 @@
     def become_leader(self, term: int) -> None:
         """Start as the leader of `term`; the state machine has applied all entries of earlier terms."""
 
-    def on_applied(self) -> None:
-        """React to a change of the state machine's state."""
+    def on_applied(self, is_established: bool) -> None:
+        """React to a change of the state machine's state, on any controller.
+
+        `is_established` tells whether this controller is the leader and has applied all entries of earlier
+        terms.
+        """
 
     def on_timer(self) -> None:
         """Apply time-outs; called on the established leader at each timer of the node."""
@@ -317,8 +321,7 @@
 
     def _on_applied(self) -> None:
         """Inform the leader's tasks and the watchers of a change of the state."""
-        if self.is_established:
-            self._leader_tasks.on_applied()
+        self._leader_tasks.on_applied(self.is_established)
         self._leader_tasks.notify_watchers()
 
     def _update_leadership(self, node: Node) -> None:
--- a/lapisgrade/gateway/controller/metrics.py
+++ b/lapisgrade/gateway/controller/metrics.py
@@ -18,6 +18,8 @@
         oversized_entries: Committed log entries of an earlier release that were too large to have an effect.
         commands_proposed: Commands that the leader proposed on its own, by type.
         changes_refused: Refused configuration changes, by call and HTTP status.
+        staged_versions_dropped: Staged versions that were dropped before they or a newer version were
+            activated.
         disk_syncs: Successful writes to the log file.
         disk_write_failures: Failed writes to the log file; each is retried.
         invalid_peer_addresses: Consensus messages and watch requests dropped because the peer's address can't
@@ -44,6 +46,7 @@
     oversized_entries: int = 0
     commands_proposed: Counter[str] = msgspec.field(default_factory=Counter)
     changes_refused: Counter[str] = msgspec.field(default_factory=Counter)
+    staged_versions_dropped: int = 0
     disk_syncs: int = 0
     disk_write_failures: int = 0
     invalid_peer_addresses: int = 0
--- a/lapisgrade/gateway/controller/version_activation.py
+++ b/lapisgrade/gateway/controller/version_activation.py
@@ -71,10 +71,26 @@
     """Tracks when versions were staged, and which activation was proposed last."""
 
     def __init__(self) -> None:
-        self._staged_since_us: dict[int, int] = {}  # by version; times on this leader's clock
+        self._staged_since_us: dict[int, int] = {}  # by version; times on this controller's clock
         self._proposed_version = 0
         self._proposed_us = 0
 
+    def observe(self, now_us: int, state: State) -> list[int]:
+        """Record the versions that were staged since the last call.
+
+        Returns:
+            The versions that were dropped since then, without any newer version being activated.
+        """
+        dropped = [
+            version
+            for version in self._staged_since_us
+            if version > state.active_version and version not in state.staged_versions
+        ]
+        self._staged_since_us = {
+            version: self._staged_since_us.get(version, now_us) for version in state.staged_versions
+        }
+        return dropped
+
     def become_leader(self, now_us: int, state: State) -> None:
         """Treat all staged versions as staged now.
 
@@ -86,9 +102,7 @@
 
     def due(self, now_us: int, state: State, proxies: Iterable[ProxyStatus]) -> Activate | None:
         """Return the activation to propose now, if any; `proxies` are the live ones."""
-        self._staged_since_us = {
-            version: self._staged_since_us.get(version, now_us) for version in state.staged_versions
-        }
+        self.observe(now_us, state)
         if not self._staged_since_us:
             return None
         staged_everywhere = self._staged_everywhere(now_us, state, proxies)
--- a/lapisgrade/gateway/controller/watch.py
+++ b/lapisgrade/gateway/controller/watch.py
@@ -150,6 +150,10 @@
         if name in self.proxies and self.proxies[name].address == address:
             del self.proxies[name]
 
+    def observe_staged_versions(self, now_us: int, state: State) -> list[int]:
+        """Record when versions were staged; see `VersionActivation.observe`."""
+        return self._activation.observe(now_us, state)
+
     # ---- commands to propose
 
     def activation(self, now_us: int, state: State) -> Activate | None:
--- a/lapisgrade/gateway/controller/watch_service.py
+++ b/lapisgrade/gateway/controller/watch_service.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import logging
 from collections.abc import Callable
 
 from lapisgrade.gateway import SECOND, rpc_messages
@@ -19,6 +20,9 @@
 from lapisgrade.gateway.rpc_peer import CONNECT_TIMEOUT_S
 from lapisgrade.gateway.settings import is_valid_address, parse_address
 from lapisgrade.gateway.watch_timing import LONG_POLL_US
+from lapisgrade.net.rate_limited_log import RateLimitedLog
+
+_dropped_versions_log = RateLimitedLog("controller", logging.getLogger("controller").warning)
 
 MAX_PROBES = 16  # maximum number of proxies that are probed for one request
 REPLY_COST_US = 200  # upper bound of the leader's CPU time for the reply to one proxy
@@ -138,9 +142,20 @@
         """Reset the state of proxies and servers from the replicated state."""
         self.watch.become_leader(self._clock(), term, self._state_machine.state)
 
-    def on_applied(self) -> None:
-        """Update which servers are draining or gone."""
-        self.watch.update_departed_servers(self._clock(), self._state_machine.state.departed_servers)
+    def on_applied(self, is_established: bool) -> None:
+        """Record staged versions; on the leader, also update which servers are draining or gone."""
+        now_us, state = self._clock(), self._state_machine.state
+        self._report_dropped_versions(self.watch.observe_staged_versions(now_us, state))
+        if is_established:
+            self.watch.update_departed_servers(now_us, state.departed_servers)
+
+    def _report_dropped_versions(self, versions: list[int]) -> None:
+        """Count staged versions that were dropped; log them if proxies wait for their activation."""
+        self._metrics.staged_versions_dropped += len(versions)
+        if versions and self._state_machine.state.live_proxies:
+            _dropped_versions_log.write(
+                f"dropped the staged versions {versions}: their changes take effect with a later version"
+            )
 
     def on_timer(self) -> None:
         """Remove proxies without recent requests and expire servers without recent heartbeats."""
--- a/tests/gateway/controller/test_activation.py
+++ b/tests/gateway/controller/test_activation.py
@@ -2,6 +2,7 @@
 
 from lapisgrade.gateway import SECOND, rpc_messages
 from lapisgrade.gateway.controller.commands import Activate, ConfigurationChange, LiveProxies, encode_command
+from lapisgrade.gateway.controller.state import MAX_STAGED_VERSIONS
 from lapisgrade.gateway.controller.state_machine import StateMachine
 from lapisgrade.gateway.controller.version_activation import (
     ACTIVATION_TIMEOUT_US,
@@ -97,6 +98,19 @@
     } == dict.fromkeys(range(1, 7), ACTIVATION_TIMEOUT_US)
 
 
+def test_versions_that_are_dropped_before_their_activation_are_reported() -> None:
+    state_machine = StateMachine()
+    watch = Watch(SECOND, 0)
+    dropped = []
+    for version in range(1, MAX_STAGED_VERSIONS + 3):
+        change = ConfigurationChange(True, encode_configuration(version, version - 1, 1))
+        state_machine.apply(version, encode_command(change))
+        dropped += watch.observe_staged_versions(0, state_machine.state)
+    assert dropped == [1, 2]
+    state_machine.apply(100, encode_command(Activate(5)))
+    assert watch.observe_staged_versions(0, state_machine.state) == []  # superseded by an active version
+
+
 def test_a_merged_version_is_activated_only_after_its_delay() -> None:
     """Guards against a request that takes the old route after another one took the merged route, at a proxy
     that timed out during a partition; it applies to requests that may run at most once.
