The leader delays a change while its version could drop one that is not active yet

Cause: the state holds eight staged versions and drops the oldest for a ninth. While a proxy has not staged a version, it is activated 1.4 s after it was staged; with more than eight changes in that time no version lived that long, and each newer one started the time anew.

Change: a change waits before it is proposed while four or more versions are staged, at most 0.35 s after the last one, so that the oldest reaches its time before the eighth place is needed. Refusals don't wait. Merged drafts wait too. A change that finds no room within 0.5 s gets 503 and is not proposed.

--- a/lapisgrade/gateway/controller/call_forwarding.py
+++ b/lapisgrade/gateway/controller/call_forwarding.py
@@ -58,12 +58,13 @@
             await asyncio.sleep(RETRY_INTERVAL_S)
 
     async def _call_leader(self, address: str, call: ForwardCall) -> ForwardCallReply | None:
-        """Return the reply; None if the call fails, or if the called controller doesn't lead (503)."""
+        """Return the reply; None if the call fails, or the called controller does not lead (503, no body)."""
         result = await self._rpc.call(parse_address(address), call, FORWARD_TIMEOUT_S)
         reply = result.value_or(None)
-        if isinstance(reply, ForwardCallReply) and reply.status != HTTPStatus.SERVICE_UNAVAILABLE:
-            return reply
-        return None
+        if not isinstance(reply, ForwardCallReply):
+            return None
+        is_refused = reply.status == HTTPStatus.SERVICE_UNAVAILABLE and not reply.body
+        return None if is_refused else reply
 
     async def execute_as_leader(self, call: ForwardCall) -> ForwardCallReply:
         """Execute a call that another controller forwarded; 503 if this one doesn't lead.
--- a/lapisgrade/gateway/controller/commands.py
+++ b/lapisgrade/gateway/controller/commands.py
@@ -124,6 +124,18 @@
 )
 
 
+_STAGING_DECODER = msgspec.msgpack.Decoder(ConfigurationChange | NewVersion | MergeDraft)
+
+
 def encode_command(command: LogCommand) -> bytes:
     """Return the command as the data of a log entry."""
     return msgspec.msgpack.encode(command)
+
+
+def stages_version(data: bytes) -> bool:
+    """Return whether the data of a log entry is a command that may stage a version."""
+    try:
+        _STAGING_DECODER.decode(data)
+    except msgspec.MsgspecError:  # another command, no data, or a command of a later release
+        return False
+    return True
--- a/lapisgrade/gateway/controller/consensus_driver.py
+++ b/lapisgrade/gateway/controller/consensus_driver.py
@@ -162,6 +162,10 @@
         """Return the sorted addresses of the voters, which accept watch requests and calls."""
         return sorted(set(self.node.voters.values())) if self.node is not None else []
 
+    def unapplied_entries(self) -> list[Entry]:
+        """Return the entries of the node's log that are not committed, and so not applied yet."""
+        return self.node.log.entries_after(self.node.commit_index) if self.node is not None else []
+
     # ---- inputs of the node
 
     def receive(self, message: ConsensusMessage) -> None:
@@ -195,17 +199,19 @@
         self.started_node.step_down()
         self.step()
 
-    async def propose(self, data: bytes, announces_commit: bool = True) -> ApplyResult | None:
+    async def propose(
+        self, data: bytes, announces_commit: bool = True, timeout_s: float = COMMIT_TIMEOUT_S
+    ) -> ApplyResult | None:
         """Append an encoded command to the log and wait until it is applied.
 
         Args:
             data: The encoded command.
             announces_commit: As for `Node.propose`.
+            timeout_s: The maximum time until the command is applied.
 
         Returns:
             The state machine's result; 413 if the command is too large for an entry of the log. None if this
-            node doesn't lead, or if the command is not applied within `COMMIT_TIMEOUT_S`; it may be applied
-            later.
+            node doesn't lead, or if the command is not applied within `timeout_s`; it may be applied later.
         """
         if len(data) > MAX_ENTRY_BYTES:
             return ApplyResult(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the change is too large for the log")
@@ -216,7 +222,7 @@
         self._pending_proposals[position] = future
         self.step()
         try:
-            async with asyncio.timeout(COMMIT_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 return await future
         except TimeoutError:
             return None
--- a/lapisgrade/gateway/controller/leader_calls.py
+++ b/lapisgrade/gateway/controller/leader_calls.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from lapisgrade.gateway import api
+from lapisgrade.gateway import SECOND, api
 from lapisgrade.gateway.controller.change_validation import ApplyResult
 from lapisgrade.gateway.controller.commands import (
     CloseDraft,
@@ -19,12 +19,13 @@
     ServerLeaving,
     encode_command,
 )
-from lapisgrade.gateway.controller.consensus_driver import ConsensusDriver
+from lapisgrade.gateway.controller.consensus_driver import COMMIT_TIMEOUT_S, ConsensusDriver
 from lapisgrade.gateway.controller.draft_merging import MAX_DRAFT_BYTES
 from lapisgrade.gateway.controller.quorum_monitor import QuorumMonitor
 from lapisgrade.gateway.controller.refused_changes import RefusedChanges
 from lapisgrade.gateway.controller.replies import decode_draft_id, encode_error, encode_result
-from lapisgrade.gateway.controller.state_machine import StateMachine
+from lapisgrade.gateway.controller.staging_admission import Admission, StagingAdmission
+from lapisgrade.gateway.controller.state_machine import PreparedChange, StateMachine
 from lapisgrade.gateway.controller.status_report import status_report
 from lapisgrade.gateway.controller.watch_service import WatchService
 from lapisgrade.gateway.errors import InvalidInputError
@@ -36,6 +37,9 @@
 
 DELIVER_DRAFT = "drafts.hand"  # internal call of a controller: merge one of its stored drafts
 
+_TOO_MANY_STAGED = ApplyResult(
+    HTTPStatus.SERVICE_UNAVAILABLE, "too many versions wait for their activation: send the change again"
+)
 _DRAFT_DECODER = msgspec.msgpack.Decoder(Draft)
 
 CallHandler = Callable[[str, bytes], Awaitable[ForwardCallReply]]
@@ -49,6 +53,7 @@
         consensus: ConsensusDriver,
         state_machine: StateMachine,
         watch_service: WatchService,
+        staging_admission: StagingAdmission,
         refused_changes: RefusedChanges,
         quorum_monitor: QuorumMonitor,
         own_address: Address,
@@ -56,6 +61,7 @@
     ) -> None:
         """`own_address` is the address for other controllers; `clock` returns the monotonic time in us."""
         self.watch_service = watch_service
+        self._staging_admission = staging_admission
         self._consensus = consensus
         self._state_machine = state_machine
         self._refused_changes = refused_changes
@@ -95,6 +101,16 @@
         """Propose a command, and return the state machine's result."""
         return _encode_proposal_result(await self._consensus.propose(encode_command(command)))
 
+    async def _commit_version(self, command: LogCommand, arrived_us: int) -> ApplyResult | None:
+        """Propose a command that may stage a version, within the time that its caller waits.
+
+        Returns the result as `ConsensusDriver.propose` does.
+        """
+        waited_s = (self.clock() - arrived_us) / SECOND
+        return await self._consensus.propose(
+            encode_command(command), timeout_s=max(0.0, COMMIT_TIMEOUT_S - waited_s)
+        )
+
     # ---- servers
 
     async def _heartbeat(self, subject: str, body: bytes) -> ForwardCallReply:
@@ -120,15 +136,28 @@
 
     async def _change(self, call: str, change: ConfigurationChange) -> ForwardCallReply:
         """Validate and propose a change, and record it if it is refused; `call` is for that record."""
-        prepared = self._state_machine.prepare(change)
+        arrived_us = self.clock()
+        prepared = await self._prepare_when_admitted(change, arrived_us)
         if prepared.command is None:  # rejected, or applied before: nothing to append to the log
             result: ApplyResult | None = prepared.result
         else:
-            result = await self._consensus.propose(encode_command(prepared.command))
+            result = await self._commit_version(prepared.command, arrived_us)
         if result is not None and result.status >= HTTPStatus.BAD_REQUEST:
             self._refused_changes.record(call, result, self.clock())
         return _encode_proposal_result(result)
 
+    async def _prepare_when_admitted(self, change: ConfigurationChange, arrived_us: int) -> PreparedChange:
+        """Validate a change, and wait until its version may be staged; 503 if there is no room in time."""
+        while True:
+            prepared = self._state_machine.prepare(change)
+            if prepared.command is None:
+                return prepared
+            match await self._staging_admission.admit(arrived_us):
+                case Admission.ADMITTED:
+                    return prepared
+                case Admission.REFUSED:
+                    return PreparedChange(_TOO_MANY_STAGED)
+
     async def _show_configuration(self, subject: str, body: bytes) -> ForwardCallReply:
         state = self._state_machine.state
         if not state.configuration:
@@ -173,10 +202,16 @@
         if len(body) > MAX_DRAFT_BYTES:
             return encode_error(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the draft is too long")
         draft = _DRAFT_DECODER.decode(body)
-        result = self._state_machine.check_draft(draft)
-        if result.status != HTTPStatus.OK:
-            return encode_result(result)
-        return await self.commit(MergeDraft(draft))
+        arrived_us = self.clock()
+        while True:
+            result = self._state_machine.check_draft(draft)
+            if result.status != HTTPStatus.OK:
+                return encode_result(result)
+            match await self._staging_admission.admit(arrived_us):
+                case Admission.ADMITTED:
+                    return _encode_proposal_result(await self._commit_version(MergeDraft(draft), arrived_us))
+                case Admission.REFUSED:
+                    return encode_result(_TOO_MANY_STAGED)
 
     async def _close_draft(self, subject: str, body: bytes) -> ForwardCallReply:
         return await self.commit(CloseDraft(decode_draft_id(body)))
--- a/lapisgrade/gateway/controller/metrics.py
+++ b/lapisgrade/gateway/controller/metrics.py
@@ -18,6 +18,7 @@
         oversized_entries: Committed log entries of an earlier release that were too large to have an effect.
         commands_proposed: Commands that the leader proposed on its own, by type.
         changes_refused: Refused configuration changes, by call and HTTP status.
+        changes_delayed: Changes that the leader delayed because many versions were staged.
         staged_versions_dropped: Staged versions that were dropped before they or a newer version were
             activated.
         disk_syncs: Successful writes to the log file.
@@ -46,6 +47,7 @@
     oversized_entries: int = 0
     commands_proposed: Counter[str] = msgspec.field(default_factory=Counter)
     changes_refused: Counter[str] = msgspec.field(default_factory=Counter)
+    changes_delayed: int = 0
     staged_versions_dropped: int = 0
     disk_syncs: int = 0
     disk_write_failures: int = 0
--- a/lapisgrade/gateway/controller/server.py
+++ b/lapisgrade/gateway/controller/server.py
@@ -36,6 +36,7 @@
 from lapisgrade.gateway.controller.operation_claims import OperationClaims
 from lapisgrade.gateway.controller.quorum_monitor import QuorumMonitor
 from lapisgrade.gateway.controller.refused_changes import RefusedChanges
+from lapisgrade.gateway.controller.staging_admission import StagingAdmission
 from lapisgrade.gateway.controller.state_machine import StateMachine
 from lapisgrade.gateway.controller.watch import Watch
 from lapisgrade.gateway.controller.watch_service import WatchService
@@ -152,6 +153,7 @@
             self.consensus,
             self.state_machine,
             self.watch_service,
+            StagingAdmission(self.consensus, self.state_machine, self.watch_service, clock, self.metrics),
             RefusedChanges(self.metrics, RateLimitedLog("controller", log.warning).write),
             self.quorum_monitor,
             self._own_address,
--- a/lapisgrade/gateway/controller/version_activation.py
+++ b/lapisgrade/gateway/controller/version_activation.py
@@ -22,7 +22,7 @@
    at least `MERGED_VERSION_DELAY_US` ago. The delay covers proxies that were partitioned: they are not among
    the live proxies, and learn of the fence with their first watch request.
 2. The version was staged at least `ACTIVATION_TIMEOUT_US` ago. By then, every proxy that has not staged it is
-   in doubt.
+   in doubt. `staging_rate` ensures that it is not dropped before.
 
 Thus no proxy returns a final error to a request that another proxy already accepts, such as the first
 requests of a new tenant. And no request that may run at most once takes the old route after another one took
@@ -120,6 +120,10 @@
         self._proposed_us = now_us
         return Activate(version)
 
+    def last_staged_us(self) -> int | None:
+        """Return when the newest staged version was staged; None if no version is staged."""
+        return max(self._staged_since_us.values(), default=None)
+
     def _staged_everywhere(self, now_us: int, state: State, proxies: Iterable[ProxyStatus]) -> int:
         """Return the newest version that rule 1 allows to activate; 0 for none."""
         newest = min((proxy.staged_version for proxy in proxies), default=0)
--- a/lapisgrade/gateway/controller/watch.py
+++ b/lapisgrade/gateway/controller/watch.py
@@ -154,6 +154,10 @@
         """Record when versions were staged; see `VersionActivation.observe`."""
         return self._activation.observe(now_us, state)
 
+    def last_staged_us(self) -> int | None:
+        """Return when the newest staged version was staged; None if no version is staged."""
+        return self._activation.last_staged_us()
+
     # ---- commands to propose
 
     def activation(self, now_us: int, state: State) -> Activate | None:
--- a/lapisgrade/gateway/controller/watch_service.py
+++ b/lapisgrade/gateway/controller/watch_service.py
@@ -49,6 +49,7 @@
         self._clock = clock
         self._metrics = metrics
         self._changed = asyncio.Event()  # set and replaced when requests are to be re-evaluated
+        self._applied = asyncio.Event()  # set and replaced when the state has changed
         self._notified_us = 0  # when `_changed` was last set
         self._notify_timer: asyncio.TimerHandle | None = None
 
@@ -103,12 +104,7 @@
 
     async def _wait_for_change(self, timeout_s: float) -> None:
         """Return when watchers are notified, or after `timeout_s`."""
-        changed = self._changed
-        try:
-            async with asyncio.timeout(timeout_s):
-                await changed.wait()
-        except TimeoutError:
-            pass
+        await _wait(self._changed, timeout_s)
 
     def on_heartbeat(self, server: Server) -> None:
         """Record a server's heartbeat, and notify watchers if they need an update."""
@@ -148,6 +144,8 @@
         self._report_dropped_versions(self.watch.observe_staged_versions(now_us, state))
         if is_established:
             self.watch.update_departed_servers(now_us, state.departed_servers)
+        applied, self._applied = self._applied, asyncio.Event()
+        applied.set()
 
     def _report_dropped_versions(self, versions: list[int]) -> None:
         """Count staged versions that were dropped; log them if proxies wait for their activation."""
@@ -157,6 +155,10 @@
                 f"dropped the staged versions {versions}: their changes take effect with a later version"
             )
 
+    async def wait_until_applied(self, timeout_s: float) -> None:
+        """Return when the state has changed, or after `timeout_s`."""
+        await _wait(self._applied, timeout_s)
+
     def on_timer(self) -> None:
         """Remove proxies without recent requests and expire servers without recent heartbeats."""
         if self.watch.advance(self._clock()):
@@ -190,6 +192,15 @@
         changed.set()
 
 
+async def _wait(event: asyncio.Event, timeout_s: float) -> None:
+    """Return when the event is set, or after `timeout_s`."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
+    except TimeoutError:
+        pass
+
+
 def fan_out_interval_us(proxy_count: int) -> int:
     """Return the minimum interval between rounds of replies: twice the CPU time of one round.
 
--- a/lapisgrade/lab/simulation/network.py
+++ b/lapisgrade/lab/simulation/network.py
@@ -35,6 +35,7 @@
         bytes_per_second: Outbound bandwidth by host, for hosts with a limit.
         extra_delay_us: Additional delay by source and destination.
         listening: Endpoints by address.
+        loss_rate: Fraction of messages between hosts that are lost.
         late_duplicate_rate: Fraction of messages that are delivered again, up to 30 s later.
         bytes_sent: Size of all messages sent so far.
     """
@@ -51,6 +52,7 @@
         self.blocked_links: set[tuple[str, str]] = set()
         self.bytes_per_second: dict[str, float] = {}
         self.extra_delay_us: dict[tuple[str, str], int] = {}
+        self.loss_rate = LOSS_RATE
         self.late_duplicate_rate = 0.0
         self.bytes_sent = 0
         self._link_free_us: dict[str, int] = {}  # end of the last transfer out of each host with a limit
@@ -71,7 +73,7 @@
             if self.random.random() < RETRANSMIT_RATE:
                 self._delayed.append((self.loop.now_us, arrive))
             return
-        if source != destination and self.random.random() < LOSS_RATE:
+        if source != destination and self.random.random() < self.loss_rate:
             return
         for _ in range(1 + (self.random.random() < DUPLICATE_RATE)):
             transfer_us = self._transfer_us(source, len(data))
