A new leader continues the time-outs of staged versions that it recorded as a follower

What callers saw: with one slow proxy, a change that was acknowledged shortly before two changes of leader took effect only 1.4 s after the last of them.

Change: every controller notes when it applied a version, and goes on with that as the leader. A leader applies an entry before its followers and answers nobody after its lease, so what a follower noted is never too early. Merged versions, and versions on top of them, still count their fence from the new leader's start.

Tests: test_a_new_leader_continues_the_time_outs_that_it_recorded_as_a_follower and the schedule's case leader-restarts failed before.

--- a/lapisgrade/gateway/controller/version_activation.py
+++ b/lapisgrade/gateway/controller/version_activation.py
@@ -22,7 +22,10 @@
    at least `MERGED_VERSION_DELAY_US` ago. The delay covers proxies that were partitioned: they are not among
    the live proxies, and learn of the fence with their first watch request.
 2. The version was staged at least `ACTIVATION_TIMEOUT_US` ago. By then, every proxy that has not staged it is
-   in doubt. `staging_rate` ensures that it is not dropped before.
+   in doubt.
+
+Neither rule applies to a version as long as a merged version, itself or an older one, is within its delay.
+`staging_rate` ensures that a version is not dropped before it can satisfy rule 2.
 
 Thus no proxy returns a final error to a request that another proxy already accepts, such as the first
 requests of a new tenant. And no request that may run at most once takes the old route after another one took
@@ -68,10 +71,17 @@
 
 
 class VersionActivation:
-    """Tracks when versions were staged, and which activation was proposed last."""
+    """Tracks when versions were staged, and which activation was proposed last.
+
+    Every controller calls `observe`, so that a new leader continues with the times that it has recorded as a
+    follower. That is safe: a leader applies each entry before its followers do, and answers no watch request
+    once it may have been replaced. So whatever a follower recorded is not earlier than the last reply that
+    may have confirmed to a proxy that there was no such version.
+    """
 
     def __init__(self) -> None:
         self._staged_since_us: dict[int, int] = {}  # by version; times on this controller's clock
+        self._leader_since_us = 0
         self._proposed_version = 0
         self._proposed_us = 0
 
@@ -92,12 +102,13 @@
         return dropped
 
     def become_leader(self, now_us: int, state: State) -> None:
-        """Treat all staged versions as staged now.
+        """Start a term.
 
-        `ACTIVATION_TIMEOUT_US` later, every proxy that was sent one by the last leader has contacted this
-        leader, or is in doubt.
+        Merged versions count as staged now: proxies that were partitioned could not learn of them while there
+        was no leader.
         """
-        self._staged_since_us = dict.fromkeys(state.staged_versions, now_us)
+        self.observe(now_us, state)
+        self._leader_since_us = now_us
         self._proposed_version = 0
 
     def due(self, now_us: int, state: State, proxies: Iterable[ProxyStatus]) -> Activate | None:
@@ -105,12 +116,14 @@
         self.observe(now_us, state)
         if not self._staged_since_us:
             return None
-        staged_everywhere = self._staged_everywhere(now_us, state, proxies)
+        staged_everywhere = min((proxy.staged_version for proxy in proxies), default=0)
+        fenced = self._fenced_versions(now_us, state)
         version = max(
             (
                 version
-                for version, since_us in self._staged_since_us.items()
-                if version <= staged_everywhere or now_us - since_us >= ACTIVATION_TIMEOUT_US
+                for version in state.staged_versions
+                if (version <= staged_everywhere or self._has_timed_out(now_us, state, version))
+                and not any(merged <= version for merged in fenced)
             ),
             default=0,
         )
@@ -124,15 +137,23 @@
         """Return when the newest staged version was staged; None if no version is staged."""
         return max(self._staged_since_us.values(), default=None)
 
-    def _staged_everywhere(self, now_us: int, state: State, proxies: Iterable[ProxyStatus]) -> int:
-        """Return the newest version that rule 1 allows to activate; 0 for none."""
-        newest = min((proxy.staged_version for proxy in proxies), default=0)
-        delayed = [
+    def _has_timed_out(self, now_us: int, state: State, version: int) -> bool:
+        """Return whether rule 2 allows to activate the version."""
+        return now_us - self._counted_since_us(state, version) >= ACTIVATION_TIMEOUT_US
+
+    def _fenced_versions(self, now_us: int, state: State) -> list[int]:
+        """Return the merged versions whose delay has not passed, so no newer version is activated either."""
+        return [
             version
-            for version in state.merged_versions
-            if now_us - self._staged_since_us.get(version, 0) < MERGED_VERSION_DELAY_US
+            for version in state.staged_versions
+            if version in state.merged_versions
+            and now_us - self._counted_since_us(state, version) < MERGED_VERSION_DELAY_US
         ]
-        return min(newest, min(delayed) - 1) if delayed else newest
+
+    def _counted_since_us(self, state: State, version: int) -> int:
+        """Return the time from which the delays of a staged version count."""
+        since_us = self._staged_since_us[version]
+        return max(since_us, self._leader_since_us) if version in state.merged_versions else since_us
 
     def _is_pending(self, now_us: int, version: int) -> bool:
         """Return whether this or a newer version was proposed within `ACTIVATION_RETRY_US`."""
--- a/lapisgrade/lab/explore/activation.py
+++ b/lapisgrade/lab/explore/activation.py
@@ -35,6 +35,8 @@
 UNIT = "calls"
 MESSAGE_LOSS = 0.02  # probability that a message is lost
 TICK_US = 50 * MS
+CONTROLLERS = 3
+MAX_FOLLOWER_DELAY_US = 100 * MS  # maximum time from the commit of an entry until followers apply it
 CALL_INTERVAL_US = 50 * MS
 
 
@@ -81,6 +83,7 @@
         self.state_machine = StateMachine()
         self.last_index = 0
         self.pending: list[WatchCall] = []  # watch requests that wait for a reply
+        self.watches = [Watch(SECOND, self.sim.now) for _ in range(CONTROLLERS)]  # one for each controller
         self.become_leader(1)
         self.isolated: set[str] = set()  # names of proxies that can't reach the leader
         self.tenant_count = 0
@@ -101,7 +104,7 @@
         """Start a new term; proposals that the previous leader had not committed are lost."""
         self.term = term
         self.pending = []
-        self.watch = Watch(SECOND, self.sim.now)
+        self.watch = self.watches[term % CONTROLLERS]
         state = State() if self.LEADS_EARLY else self.state_machine.state
         self.watch.become_leader(self.sim.now, term, state)
         self.note(f"new leader in term {term}; live proxies: {sorted(self.watch.proxies)}")
@@ -125,6 +128,9 @@
         self.last_index += 1
         self.state_machine.apply(self.last_index, data)
         state = self.state_machine.state
+        for watch in self.watches:  # the leader applies an entry first
+            delay_us = 0 if watch is self.watch else self.random.randrange(MAX_FOLLOWER_DELAY_US)
+            self.sim.after(delay_us, self._observe, watch)
         live_proxies = sorted(state.live_proxies)
         self.note(
             f"log: newest version {state.version}, active version {state.active_version}, "
@@ -132,6 +138,10 @@
         )
         self.reply_to_pending()
 
+    def _observe(self, watch: Watch) -> None:
+        """Let a controller record which versions are staged."""
+        watch.observe_staged_versions(self.sim.now, self.state_machine.state)
+
     def change(self, added: int, withdrawn: int | None = None) -> None:
         """Commit a configuration with `added` more tenants, and without the tenant `withdrawn` if given."""
         self.tenant_count += added
@@ -258,11 +268,18 @@
     return Activate(state.version) if state.version > state.active_version else None
 
 
+def _skip_time_outs(self: version_activation.VersionActivation, now: int, state: State) -> None:
+    """A new leader counts the versions that it finds staged as staged long ago."""
+    long_ago_us = now - version_activation.ACTIVATION_TIMEOUT_US
+    self._staged_since_us = dict.fromkeys(state.staged_versions, long_ago_us)
+
+
 DEFECTS: Defects = {
     "serves-withdrawn": Defect(router.Router, "match", _match_active_only),
     "acts-at-once": Defect(Watch, "activation", _activate_unstaged),
     "never-doubts": Defect(route_versions, "MISSED_VERSION_AFTER_US", 1 << 60),
     "waits-for-nobody": Defect(version_activation, "ACTIVATION_TIMEOUT_US", 0),
+    "skips-time-outs": Defect(version_activation.VersionActivation, "become_leader", _skip_time_outs),
     "leads-early": Defect(World, "LEADS_EARLY", True),
 }
 
--- a/lapisgrade/lab/simulation/activation_schedule.py
+++ b/lapisgrade/lab/simulation/activation_schedule.py
@@ -1,7 +1,8 @@
 """A fault schedule for the time until acknowledged changes take effect.
 
-Operators send changes in quick succession while proxies are slow or freeze. Each acknowledged change must be
-active at all other proxies within `Apply`.
+Operators send changes in quick succession while proxies are slow or freeze, and while leaders change. Each
+acknowledged change must be active at all other proxies within `Apply`. Leaders are restarted gracefully, so
+that they transfer their leadership and no change waits for an election.
 """
 
 import asyncio
@@ -16,6 +17,7 @@
 from lapisgrade.lab.simulation.watch_client import WatchClient
 
 APPLY_US = 2_500_000  # maximum time from an acknowledgement until all proxies in contact act by the change
+CONTROLLERS, MAX_LOST = 5, 2  # of which two may be restarting at once
 OPERATORS = 3
 MAX_PAUSE_S = 0.06  # of an operator between its calls
 CHANGES_S = 9.0  # duration of the changes
@@ -24,6 +26,8 @@
 FREEZE_S = 2.6  # above `watch.PROXY_TIMEOUT_US`
 FREEZE_INTERVAL_S = 1.1
 SLOW_POLL_S = 0.2
+LEADER_INTERVAL_S = 0.75  # two terms end within `version_activation.ACTIVATION_TIMEOUT_US`
+RESTART_S = 2.0  # time from the stop of a controller to its start
 
 
 class ObservedWatchClient(WatchClient):
@@ -65,7 +69,7 @@
     """A control plane whose proxies' activations are compared with the acknowledgements."""
 
     def __init__(self, seed: int) -> None:
-        super().__init__(seed, operators=OPERATORS, max_pause_s=MAX_PAUSE_S)
+        super().__init__(seed, CONTROLLERS, MAX_LOST, OPERATORS, max_pause_s=MAX_PAUSE_S)
         self.cluster.network.loss_rate = 0.0  # the bound is for proxies whose links are intact
         for operator in self.operators:
             operator.max_consecutive_reads = 0
@@ -90,6 +94,15 @@
         self.cluster.note(f"limiter {client.number} is frozen for {FREEZE_S} s")
         client.process.frozen_until_us = self.loop.now_us + round(FREEZE_S * SECOND)
 
+    def restart_leader_twice(self) -> None:
+        """Stop the leader gracefully, and its successor soon after; start them again later."""
+        for _ in range(2):
+            leader = self.cluster.leader()
+            if leader is not None:
+                leader.stop()
+                self.faults.call_after(RESTART_S, leader.start)
+            self.loop.run_for(LEADER_INTERVAL_S)
+
     def check_activations(self, until_us: int) -> None:
         """Check the changes that were acknowledged before `until_us`."""
         for operation in self.history:
@@ -119,9 +132,18 @@
     simulation.loop.run_for(CHANGES_S)
 
 
+def _leader_restarts(simulation: ActivationSimulation) -> None:
+    simulation.start_slow_client()
+    for _ in range(3):
+        simulation.loop.run_for(simulation.random.random())
+        simulation.restart_leader_twice()
+        simulation.loop.run_for(2.0)
+
+
 FAULTS: dict[str, Callable[[ActivationSimulation], None]] = {
     "slow-proxy": _slow_proxy,
     "frozen-proxies": _frozen_proxies,
+    "leader-restarts": _leader_restarts,
 }
 """The faults during which changes are sent, by name."""
 
--- a/tests/gateway/controller/test_activation.py
+++ b/tests/gateway/controller/test_activation.py
@@ -98,6 +98,36 @@
     } == dict.fromkeys(range(1, 7), ACTIVATION_TIMEOUT_US)
 
 
+def staged_at_a_follower(versions: list[int], merged: list[int]) -> tuple[StateMachine, Watch]:
+    """Return the state and watch of a controller that applied staged versions at 0 and leads from 1 s on."""
+    state_machine = StateMachine()
+    state = state_machine.state
+    state.staged_versions, state.merged_versions = dict.fromkeys(versions, b"{}"), merged
+    state.live_proxies = {"silent": ("p", "1", "z")}
+    watch = Watch(SECOND, 0)
+    watch.observe_staged_versions(0, state)
+    watch.become_leader(SECOND, 2, state)
+    return state_machine, watch
+
+
+def test_a_new_leader_continues_the_time_outs_that_it_recorded_as_a_follower() -> None:
+    """Guards against changes that are delayed by each change of leader."""
+    state_machine, watch = staged_at_a_follower([5], [])
+    assert watch.activation(ACTIVATION_TIMEOUT_US - 1, state_machine.state) is None
+    assert watch.activation(ACTIVATION_TIMEOUT_US, state_machine.state) == Activate(5)
+
+
+def test_a_new_leader_delays_merged_versions_and_those_on_top_from_its_start() -> None:
+    """Guards against a proxy that could not learn of a merged version while there was no leader."""
+    state_machine, watch = staged_at_a_follower([4, 5, 6], [5])
+    state = state_machine.state
+    assert watch.activation(ACTIVATION_TIMEOUT_US, state) == Activate(4)
+    state_machine.apply(1, encode_command(Activate(4)))
+    fence_ends_us = SECOND + MERGED_VERSION_DELAY_US
+    assert watch.activation(fence_ends_us - 1, state) is None
+    assert watch.activation(fence_ends_us, state) == Activate(6)
+
+
 def test_versions_that_are_dropped_before_their_activation_are_reported() -> None:
     state_machine = StateMachine()
     watch = Watch(SECOND, 0)
--- a/tests/lab/simulation/test_activation_schedule.py
+++ b/tests/lab/simulation/test_activation_schedule.py
@@ -12,7 +12,7 @@
 @pytest.mark.parametrize("fault", FAULTS)
 def test_each_acknowledged_change_is_active_within_apply(fault: str) -> None:
     """Guards against changes that wait without bound because their versions are dropped before they can be
-    activated (review/7)."""
+    activated (review/7), or because each new leader starts their time-outs again."""
     for seed in range(SEEDS):
         simulation = simulate_activations(seed, fault)
         assert simulation.violations == [], f"seed {seed}\n" + "\n".join(simulation.transcript())
