A leader with the maximum number of proxies still records those that it knows

What callers would see: once 4,096 proxy names are known, a flood of names say, every live proxy times out at the leader after 2 s, since its further watch requests are not recorded. Its counts get other owners, and versions are activated without it.

Test: test_a_flood_of_proxy_names_does_not_displace_a_proxy_in_contact failed before (no proxy was left).

--- a/lapisgrade/gateway/controller/watch.py
+++ b/lapisgrade/gateway/controller/watch.py
@@ -32,7 +32,7 @@
 PROXY_TIMEOUT_US = 2_000_000
 PROXY_LIST_INTERVAL_US = 150_000  # minimum interval between lists; proxies that start together share one
 SERVER_SNAPSHOT_INTERVAL_US = 1_000_000  # minimum interval between server snapshots
-MAX_PROXIES = 4096  # bounds memory against a flood of proxy names
+MAX_PROXIES = 4096  # bounds memory against a flood of proxy names; beyond it only known ones are recorded
 
 _LIVE_STATES = (ServerState.UP, ServerState.DRAIN)
 
@@ -230,7 +230,8 @@
 
     def _observe(self, now_us: int, request: rpc_messages.WatchRequest) -> None:
         """Record the proxy, and the servers that it knows from an earlier leader."""
-        if request.proxy and len(self.proxies) < MAX_PROXIES:
+        has_room = request.proxy in self.proxies or len(self.proxies) < MAX_PROXIES
+        if request.proxy and has_room:
             self.proxies[request.proxy] = ProxyStatus(
                 request.address,
                 request.incarnation,
--- a/tests/gateway/controller/test_activation.py
+++ b/tests/gateway/controller/test_activation.py
@@ -1,6 +1,9 @@
 """When versions are activated: the leader's `Watch` and state machine in simulated time."""
 
+import pytest
+
 from lapisgrade.gateway import SECOND, rpc_messages
+from lapisgrade.gateway.controller import watch as watch_module
 from lapisgrade.gateway.controller.commands import Activate, ConfigurationChange, LiveProxies, encode_command
 from lapisgrade.gateway.controller.state import MAX_STAGED_VERSIONS
 from lapisgrade.gateway.controller.state_machine import StateMachine
@@ -9,7 +12,7 @@
     MERGED_VERSION_DELAY_US,
     ProxyStatus,
 )
-from lapisgrade.gateway.controller.watch import Watch
+from lapisgrade.gateway.controller.watch import PROXY_TIMEOUT_US, Watch
 from lapisgrade.gateway.watch_timing import MISSED_VERSION_AFTER_US
 from lapisgrade.lab.explore.activation import encode_configuration
 from lapisgrade.lab.explore.watch_proxy import MS
@@ -46,6 +49,27 @@
     assert watch.activation(SECOND + ACTIVATION_TIMEOUT_US, state_machine.state) == Activate(2)
 
 
+def test_a_flood_of_proxy_names_does_not_displace_a_proxy_in_contact(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against live proxies that time out, and lose their counts, beyond `MAX_PROXIES`."""
+    monkeypatch.setattr(watch_module, "MAX_PROXIES", 3)
+    state = StateMachine().state
+    watch = Watch(SECOND, 0)
+
+    def send_watch_request(now_us: int, name: str) -> None:
+        request = rpc_messages.WatchRequest(name, "p", "1", "z", 0, "", 0, 0)
+        watch.reply_if_changed(now_us, request, state, [])
+
+    for now_us in range(0, 2 * PROXY_TIMEOUT_US, PROXY_TIMEOUT_US // 4):
+        send_watch_request(now_us, "in-contact")
+        for number in range(3):
+            send_watch_request(now_us, f"name-{now_us}-{number}")
+        watch.advance(now_us)
+        assert "in-contact" in watch.proxies
+        assert len(watch.proxies) <= 3
+
+
 def test_rejected_changes_are_neither_staged_nor_activated() -> None:
     state_machine = StateMachine()
     state_machine.apply(1, encode_command(ConfigurationChange(True, encode_configuration(1, 0, 1))))
