An endpoint with the maximum number of peers closes the least recently used one

What callers would see: with 512 peers, each new address closes the connection that was opened first, the leader's or a follower's for example, and breaks off its calls (MAY_HAVE_RUN), whoever still uses it.

They are evicted in the order of their last use now.

Test: test_a_peer_in_use_is_not_closed_when_others_are_added failed before.

--- a/lapisgrade/gateway/rpc.py
+++ b/lapisgrade/gateway/rpc.py
@@ -77,14 +77,15 @@
         return connection
 
     def peer(self, address: tuple[str, int]) -> Peer:
-        """Return the peer at the address, without connecting to it."""
-        peer = self._peers.get(address)
+        """Return the peer at the address, without connecting to it, and mark it as the last used one."""
+        peer = self._peers.pop(address, None)
         if peer is None:
-            if len(self._peers) >= MAX_PEERS:  # bounds descriptors: closes the peer that was added first
+            if len(self._peers) >= MAX_PEERS:  # bounds descriptors: closes the least recently used peer
                 self._peers.pop(next(iter(self._peers))).close()
-            peer = self._peers[address] = Peer(self._codec, address)
+            peer = Peer(self._codec, address)
             if self._is_closed:
                 peer.close()
+        self._peers[address] = peer
         return peer
 
     async def call(
--- a/tests/gateway/test_rpc.py
+++ b/tests/gateway/test_rpc.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Success
 
 from lapisgrade.fakes.site import free_port
-from lapisgrade.gateway import rpc_connection
+from lapisgrade.gateway import rpc, rpc_connection
 from lapisgrade.gateway.call_failure import CallFailure
 from lapisgrade.gateway.rpc import RpcEndpoint
 from lapisgrade.gateway.rpc_connection import Codec
@@ -287,3 +287,22 @@
     assert await caller.call(address, Question("d"), SHORT_TIMEOUT_S) == Failure(CallFailure.NOT_RUN)
     assert asyncio.all_tasks() <= tasks
     endpoint.close()
+
+
+def test_a_peer_in_use_is_not_closed_when_others_are_added(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against calls that break off because their peer, the leader for example, was added first."""
+    monkeypatch.setattr(rpc, "MAX_PEERS", 2)
+
+    async def scenario(caller: RpcEndpoint, callee: RpcEndpoint, address: tuple[str, int]) -> None:
+        slow_call = asyncio.create_task(caller.call(address, Question("slow"), TIMEOUT_S))
+        for _ in range(3):
+            await asyncio.sleep(SHORT_TIMEOUT_S / 10)
+            caller.post(free_address(), Question("to nobody"))
+            assert await caller.call(address, Question("a"), TIMEOUT_S) == Success(Answer("A"))
+        assert await slow_call == Success(Answer("SLOW"))
+
+    async def answer_late_if_slow(question: Question) -> Answer:
+        await asyncio.sleep(SHORT_TIMEOUT_S if question.text == "slow" else 0)
+        return await answer(question)
+
+    run(scenario, answer_late_if_slow)
