The leader stores all lists of live proxies under which an owner of a count may still act

What could be seen: two owners of one count, so a tenant above its limit (QUOTA), when a proxy starts or misses lists while the lists change at the highest rate, one each 0.15 s.

Cause: twelve lists were stored, the current one among them; those replaced within OWNERSHIP_LEASE_US (1.8 s) are eleven besides the current and the previous one. The number is computed from the two times now.

Test: test_all_lists_under_which_an_owner_may_act_are_stored_at_the_highest_rate failed before (one list missing). That it has led to two owners was not seen.

--- a/lapisgrade/gateway/controller/proxy_list_feed.py
+++ b/lapisgrade/gateway/controller/proxy_list_feed.py
@@ -10,9 +10,10 @@
 from lapisgrade.gateway.quota.ownership import OWNERSHIP_LEASE_US
 from lapisgrade.gateway.rpc_messages import ProxiesByName, ProxyListDelta
 
-# Maximum number of stored lists. At the leader's highest rate, one per PROXY_LIST_INTERVAL_US, these cover
-# about two seconds; `earlier_owners` needs the lists of the last OWNERSHIP_LEASE_US.
-MAX_LISTS = 12
+PROXY_LIST_INTERVAL_US = 150_000  # minimum interval between lists; proxies that start together share one
+# Maximum number of stored lists. `earlier_owners` needs all that were replaced within OWNERSHIP_LEASE_US, and
+# the current list; one more, as the commits of two lists may be closer together than their proposals.
+MAX_LISTS = OWNERSHIP_LEASE_US // PROXY_LIST_INTERVAL_US + 2
 
 
 class _ProxyList(msgspec.Struct, frozen=True):
--- a/lapisgrade/gateway/controller/watch.py
+++ b/lapisgrade/gateway/controller/watch.py
@@ -21,7 +21,7 @@
 from lapisgrade.gateway.configuration_delta import EncodedVersion
 from lapisgrade.gateway.controller.commands import Activate, LiveProxies, ServerSnapshot
 from lapisgrade.gateway.controller.configuration_feed import MAX_REPLY_BYTES, ConfigurationFeed
-from lapisgrade.gateway.controller.proxy_list_feed import ProxyListFeed
+from lapisgrade.gateway.controller.proxy_list_feed import PROXY_LIST_INTERVAL_US, ProxyListFeed
 from lapisgrade.gateway.controller.state import State
 from lapisgrade.gateway.controller.version_activation import ProxyStatus, VersionActivation
 from lapisgrade.gateway.quota.ownership import eligible_owners
@@ -30,7 +30,6 @@
 # Time without a watch request after which a proxy is removed and its quota counts get new owners. Above
 # OWNERSHIP_LEASE_US, so that the proxy no longer acts as an owner.
 PROXY_TIMEOUT_US = 2_000_000
-PROXY_LIST_INTERVAL_US = 150_000  # minimum interval between lists; proxies that start together share one
 SERVER_SNAPSHOT_INTERVAL_US = 1_000_000  # minimum interval between server snapshots
 MAX_PROXIES = 4096  # bounds memory against a flood of proxy names; beyond it only known ones are recorded
 
--- a/tests/gateway/controller/test_proxy_list_feed.py
+++ b/tests/gateway/controller/test_proxy_list_feed.py
@@ -7,10 +7,15 @@
 
 from lapisgrade.gateway import SECOND, rpc_messages
 from lapisgrade.gateway.controller.commands import LiveProxies, encode_command
-from lapisgrade.gateway.controller.proxy_list_feed import MAX_LISTS, ProxyListFeed
+from lapisgrade.gateway.controller.proxy_list_feed import (
+    MAX_LISTS,
+    PROXY_LIST_INTERVAL_US,
+    ProxyListFeed,
+)
 from lapisgrade.gateway.controller.state_machine import StateMachine
 from lapisgrade.gateway.controller.watch import Watch
 from lapisgrade.gateway.controller.watch_service import MAX_FAN_OUT_INTERVAL_US, fan_out_interval_us
+from lapisgrade.gateway.quota.ownership import OWNERSHIP_LEASE_US
 
 
 def members(names, incarnation: str = "1") -> rpc_messages.ProxiesByName:
@@ -75,6 +80,19 @@
     assert reply.updated_proxies(4, members([2])) == members([1, 2])
 
 
+def test_all_lists_under_which_an_owner_may_act_are_stored_at_the_highest_rate() -> None:
+    """Guards against two owners of a count: a proxy that is not told of an earlier owner does not ask it."""
+    feed = ProxyListFeed()
+    newest = 100
+    for token in range(1, newest + 1):
+        feed.add(token * PROXY_LIST_INTERVAL_US, token, {}, (f"owner-{token}",))
+    now_us = newest * PROXY_LIST_INTERVAL_US
+    replaced_us = {token: (token + 1) * PROXY_LIST_INTERVAL_US for token in range(1, newest)}
+    acting = [token for token in replaced_us if now_us - replaced_us[token] < OWNERSHIP_LEASE_US]
+    earlier = [(f"owner-{token}",) for token in reversed(acting) if token < newest - 1]
+    assert feed.earlier_owners(now_us, newest - 1) == earlier
+
+
 def test_the_number_of_stored_lists_is_bounded(leader: ProxyListLeader) -> None:
     feed = ProxyListFeed()
     for token in range(1, 10 * MAX_LISTS):
--- a/tests/gateway/quota/test_hand_over.py
+++ b/tests/gateway/quota/test_hand_over.py
@@ -8,8 +8,9 @@
 
 from lapisgrade.gateway import SECOND, rpc_messages
 from lapisgrade.gateway.controller.commands import LiveProxies, encode_command
+from lapisgrade.gateway.controller.proxy_list_feed import PROXY_LIST_INTERVAL_US
 from lapisgrade.gateway.controller.state_machine import StateMachine
-from lapisgrade.gateway.controller.watch import PROXY_LIST_INTERVAL_US, Watch
+from lapisgrade.gateway.controller.watch import Watch
 from lapisgrade.gateway.quota.epochs import MembershipUpdate
 from lapisgrade.gateway.quota.owner import QuotaOwner
 from lapisgrade.gateway.quota.ownership import OWNERSHIP_LEASE_US, eligible_owners, owner_of
