At most 32 changes wait for room; further ones get 503 at once

Each waiting change holds a configuration of up to 8 MB, and the one before made it wait up to 0.5 s with it. Only one of those on a base can be accepted, so more that wait are of no use.

Test: test_the_number_of_waiting_changes_is_bounded.

--- a/lapisgrade/gateway/controller/staging_admission.py
+++ b/lapisgrade/gateway/controller/staging_admission.py
@@ -16,6 +16,7 @@
 
 # Maximum time that a change waits. Leaves time for its commit within call_forwarding.FORWARD_TIMEOUT_S.
 MAX_STAGING_WAIT_US = 500_000
+MAX_WAITING_CHANGES = 32  # bounds memory: each holds a configuration; only one of them can be accepted next
 
 
 class Admission(Enum):
@@ -43,6 +44,7 @@
         self._watch_service = watch_service
         self._clock = clock
         self._metrics = metrics
+        self._waiting = 0  # number of changes that wait
 
     async def admit(self, arrived_us: int) -> Admission:
         """Wait until a version may be staged.
@@ -50,9 +52,20 @@
         Args:
             arrived_us: When the leader received the change; it is refused `MAX_STAGING_WAIT_US` later.
         """
+        if self._delay_us() == 0:
+            return Admission.ADMITTED
+        if self._waiting >= MAX_WAITING_CHANGES:
+            return Admission.REFUSED
+        self._metrics.changes_delayed += 1
+        self._waiting += 1
+        try:
+            return await self._wait(arrived_us)
+        finally:
+            self._waiting -= 1
+
+    async def _wait(self, arrived_us: int) -> Admission:
+        """Wait until the delay has passed, another version is accepted, or the time is over."""
         version = self._state_machine.state.version
-        if self._delay_us() > 0:
-            self._metrics.changes_delayed += 1
         while (delay_us := self._delay_us()) > 0:
             remaining_us = arrived_us + MAX_STAGING_WAIT_US - self._clock()
             if remaining_us <= 0:
--- a/tests/gateway/controller/test_staging_admission.py
+++ b/tests/gateway/controller/test_staging_admission.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from lapisgrade.gateway.controller import version_activation
+from lapisgrade.gateway.controller import staging_admission, version_activation
 from lapisgrade.gateway.controller.leader_calls import DELIVER_DRAFT
 from lapisgrade.gateway.controller.staging_rate import (
     PACED_INTERVAL_US,
@@ -144,6 +144,20 @@
     assert count_dropped_versions(simulation) == 0
 
 
+def test_the_number_of_waiting_changes_is_bounded(
+    simulation: ActivationSimulation, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a flood of changes whose configurations fill the leader's memory."""
+    monkeypatch.setattr(staging_admission, "MAX_WAITING_CHANGES", 2)
+    caller, newest = Caller(simulation), newest_version(simulation)
+    for number in range(5):
+        caller.update(f"{number}", newest, f"pool-{number}")
+    simulation.loop.run_for(PROMPT_S)
+    assert [reply[0] for reply in caller.replies.values()] == [503] * 3
+    simulation.loop.run_for(PACED_INTERVAL_US / SECOND)
+    assert sorted(reply[0] for reply in caller.replies.values()) == [200, 412, 503, 503, 503]
+
+
 def draft_of(simulation: ActivationSimulation, number: int) -> Draft:
     """Return a draft that adds a pool."""
     current = msgspec.json.decode(simulation.cluster.leader().controller.state_machine.state.configuration)
