--- a/lapisgrade/lab/explore/activation.py
+++ b/lapisgrade/lab/explore/activation.py
@@ -36,7 +36,7 @@
 MESSAGE_LOSS = 0.02  # probability that a message is lost
 TICK_US = 50 * MS
 CONTROLLERS = 3
-MAX_FOLLOWER_DELAY_US = 100 * MS  # maximum time from the commit of an entry until followers apply it
+FOLLOWER_DELAY_US = 100 * MS  # time from the commit of an entry until followers apply it
 CALL_INTERVAL_US = 50 * MS
 
 
@@ -129,7 +129,7 @@
         self.state_machine.apply(self.last_index, data)
         state = self.state_machine.state
         for watch in self.watches:  # the leader applies an entry first
-            delay_us = 0 if watch is self.watch else self.random.randrange(MAX_FOLLOWER_DELAY_US)
+            delay_us = 0 if watch is self.watch else FOLLOWER_DELAY_US
             self.sim.after(delay_us, self._observe, watch)
         live_proxies = sorted(state.live_proxies)
         self.note(
