--- a/lapisgrade/gateway/controller/watch.py
+++ b/lapisgrade/gateway/controller/watch.py
@@ -21,7 +21,7 @@
 from lapisgrade.gateway.configuration_delta import EncodedVersion
 from lapisgrade.gateway.controller.commands import Activate, LiveProxies, ServerSnapshot
 from lapisgrade.gateway.controller.configuration_feed import MAX_REPLY_BYTES, ConfigurationFeed
-from lapisgrade.gateway.controller.proxy_list_feed import ProxyListFeed
+from lapisgrade.gateway.controller.proxy_list_feed import PROXY_LIST_INTERVAL_US, ProxyListFeed
 from lapisgrade.gateway.controller.state import State
 from lapisgrade.gateway.controller.version_activation import ProxyStatus, VersionActivation
 from lapisgrade.gateway.quota.ownership import eligible_owners
@@ -30,9 +30,8 @@
 # Time without a watch request after which a proxy is removed and its quota counts get new owners. Above
 # OWNERSHIP_LEASE_US, so that the proxy no longer acts as an owner.
 PROXY_TIMEOUT_US = 2_000_000
-PROXY_LIST_INTERVAL_US = 150_000  # minimum interval between lists; proxies that start together share one
 SERVER_SNAPSHOT_INTERVAL_US = 1_000_000  # minimum interval between server snapshots
-MAX_PROXIES = 4096  # bounds memory against a flood of proxy names
+MAX_PROXIES = 4096  # bounds memory against a flood of proxy names; beyond it only known ones are recorded
 
 _LIVE_STATES = (ServerState.UP, ServerState.DRAIN)
 
@@ -150,6 +149,14 @@
         if name in self.proxies and self.proxies[name].address == address:
             del self.proxies[name]
 
+    def observe_staged_versions(self, now_us: int, state: State) -> list[int]:
+        """Record when versions were staged; see `VersionActivation.observe`."""
+        return self._activation.observe(now_us, state)
+
+    def last_staged_us(self) -> int | None:
+        """Return when the newest staged version was staged; None if no version is staged."""
+        return self._activation.last_staged_us()
+
     # ---- commands to propose
 
     def activation(self, now_us: int, state: State) -> Activate | None:
@@ -222,7 +229,8 @@
 
     def _observe(self, now_us: int, request: rpc_messages.WatchRequest) -> None:
         """Record the proxy, and the servers that it knows from an earlier leader."""
-        if request.proxy and len(self.proxies) < MAX_PROXIES:
+        has_room = request.proxy in self.proxies or len(self.proxies) < MAX_PROXIES
+        if request.proxy and has_room:
             self.proxies[request.proxy] = ProxyStatus(
                 request.address,
                 request.incarnation,
--- a/lapisgrade/gateway/controller/watch_service.py
+++ b/lapisgrade/gateway/controller/watch_service.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import logging
 from collections.abc import Callable
 
 from lapisgrade.gateway import SECOND, rpc_messages
@@ -19,6 +20,9 @@
 from lapisgrade.gateway.rpc_peer import CONNECT_TIMEOUT_S
 from lapisgrade.gateway.settings import is_valid_address, parse_address
 from lapisgrade.gateway.watch_timing import LONG_POLL_US
+from lapisgrade.net.rate_limited_log import RateLimitedLog
+
+_dropped_versions_log = RateLimitedLog("controller", logging.getLogger("controller").warning)
 
 MAX_PROBES = 16  # maximum number of proxies that are probed for one request
 REPLY_COST_US = 200  # upper bound of the leader's CPU time for the reply to one proxy
@@ -45,6 +49,7 @@
         self._clock = clock
         self._metrics = metrics
         self._changed = asyncio.Event()  # set and replaced when requests are to be re-evaluated
+        self._applied = asyncio.Event()  # set and replaced when the state has changed
         self._notified_us = 0  # when `_changed` was last set
         self._notify_timer: asyncio.TimerHandle | None = None
 
@@ -99,12 +104,7 @@
 
     async def _wait_for_change(self, timeout_s: float) -> None:
         """Return when watchers are notified, or after `timeout_s`."""
-        changed = self._changed
-        try:
-            async with asyncio.timeout(timeout_s):
-                await changed.wait()
-        except TimeoutError:
-            pass
+        await _wait(self._changed, timeout_s)
 
     def on_heartbeat(self, server: Server) -> None:
         """Record a server's heartbeat, and notify watchers if they need an update."""
@@ -138,9 +138,26 @@
         """Reset the state of proxies and servers from the replicated state."""
         self.watch.become_leader(self._clock(), term, self._state_machine.state)
 
-    def on_applied(self) -> None:
-        """Update which servers are draining or gone."""
-        self.watch.update_departed_servers(self._clock(), self._state_machine.state.departed_servers)
+    def on_applied(self, is_established: bool) -> None:
+        """Record staged versions; on the leader, also update which servers are draining or gone."""
+        now_us, state = self._clock(), self._state_machine.state
+        self._report_dropped_versions(self.watch.observe_staged_versions(now_us, state))
+        if is_established:
+            self.watch.update_departed_servers(now_us, state.departed_servers)
+        applied, self._applied = self._applied, asyncio.Event()
+        applied.set()
+
+    def _report_dropped_versions(self, versions: list[int]) -> None:
+        """Count staged versions that were dropped; log them if proxies wait for their activation."""
+        self._metrics.staged_versions_dropped += len(versions)
+        if versions and self._state_machine.state.live_proxies:
+            _dropped_versions_log.write(
+                f"dropped the staged versions {versions}: their changes take effect with a later version"
+            )
+
+    async def wait_until_applied(self, timeout_s: float) -> None:
+        """Return when the state has changed, or after `timeout_s`."""
+        await _wait(self._applied, timeout_s)
 
     def on_timer(self) -> None:
         """Remove proxies without recent requests and expire servers without recent heartbeats."""
@@ -175,6 +192,15 @@
         changed.set()
 
 
+async def _wait(event: asyncio.Event, timeout_s: float) -> None:
+    """Return when the event is set, or after `timeout_s`."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
+    except TimeoutError:
+        pass
+
+
 def fan_out_interval_us(proxy_count: int) -> int:
     """Return the minimum interval between rounds of replies: twice the CPU time of one round.
 
--- a/tests/gateway/controller/test_activation.py
+++ b/tests/gateway/controller/test_activation.py
@@ -1,14 +1,18 @@
 """When versions are activated: the leader's `Watch` and state machine in simulated time."""
 
+import pytest
+
 from lapisgrade.gateway import SECOND, rpc_messages
+from lapisgrade.gateway.controller import watch as watch_module
 from lapisgrade.gateway.controller.commands import Activate, ConfigurationChange, LiveProxies, encode_command
+from lapisgrade.gateway.controller.state import MAX_STAGED_VERSIONS
 from lapisgrade.gateway.controller.state_machine import StateMachine
 from lapisgrade.gateway.controller.version_activation import (
     ACTIVATION_TIMEOUT_US,
     MERGED_VERSION_DELAY_US,
     ProxyStatus,
 )
-from lapisgrade.gateway.controller.watch import Watch
+from lapisgrade.gateway.controller.watch import PROXY_TIMEOUT_US, Watch
 from lapisgrade.gateway.watch_timing import MISSED_VERSION_AFTER_US
 from lapisgrade.lab.explore.activation import encode_configuration
 from lapisgrade.lab.explore.watch_proxy import MS
@@ -45,6 +49,27 @@
     assert watch.activation(SECOND + ACTIVATION_TIMEOUT_US, state_machine.state) == Activate(2)
 
 
+def test_a_flood_of_proxy_names_does_not_displace_a_proxy_in_contact(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against live proxies that time out, and lose their counts, beyond `MAX_PROXIES`."""
+    monkeypatch.setattr(watch_module, "MAX_PROXIES", 3)
+    state = StateMachine().state
+    watch = Watch(SECOND, 0)
+
+    def send_watch_request(now_us: int, name: str) -> None:
+        request = rpc_messages.WatchRequest(name, "p", "1", "z", 0, "", 0, 0)
+        watch.reply_if_changed(now_us, request, state, [])
+
+    for now_us in range(0, 2 * PROXY_TIMEOUT_US, PROXY_TIMEOUT_US // 4):
+        send_watch_request(now_us, "in-contact")
+        for number in range(3):
+            send_watch_request(now_us, f"name-{now_us}-{number}")
+        watch.advance(now_us)
+        assert "in-contact" in watch.proxies
+        assert len(watch.proxies) <= 3
+
+
 def test_rejected_changes_are_neither_staged_nor_activated() -> None:
     state_machine = StateMachine()
     state_machine.apply(1, encode_command(ConfigurationChange(True, encode_configuration(1, 0, 1))))
@@ -97,6 +122,49 @@
     } == dict.fromkeys(range(1, 7), ACTIVATION_TIMEOUT_US)
 
 
+def staged_at_a_follower(versions: list[int], merged: list[int]) -> tuple[StateMachine, Watch]:
+    """Return the state and watch of a controller that applied staged versions at 0 and leads from 1 s on."""
+    state_machine = StateMachine()
+    state = state_machine.state
+    state.staged_versions, state.merged_versions = dict.fromkeys(versions, b"{}"), merged
+    state.live_proxies = {"silent": ("p", "1", "z")}
+    watch = Watch(SECOND, 0)
+    watch.observe_staged_versions(0, state)
+    watch.become_leader(SECOND, 2, state)
+    return state_machine, watch
+
+
+def test_a_new_leader_continues_the_time_outs_that_it_recorded_as_a_follower() -> None:
+    """Guards against changes that are delayed by each change of leader."""
+    state_machine, watch = staged_at_a_follower([5], [])
+    assert watch.activation(ACTIVATION_TIMEOUT_US - 1, state_machine.state) is None
+    assert watch.activation(ACTIVATION_TIMEOUT_US, state_machine.state) == Activate(5)
+
+
+def test_a_new_leader_delays_merged_versions_and_those_on_top_from_its_start() -> None:
+    """Guards against a proxy that could not learn of a merged version while there was no leader."""
+    state_machine, watch = staged_at_a_follower([4, 5, 6], [5])
+    state = state_machine.state
+    assert watch.activation(ACTIVATION_TIMEOUT_US, state) == Activate(4)
+    state_machine.apply(1, encode_command(Activate(4)))
+    fence_ends_us = SECOND + MERGED_VERSION_DELAY_US
+    assert watch.activation(fence_ends_us - 1, state) is None
+    assert watch.activation(fence_ends_us, state) == Activate(6)
+
+
+def test_versions_that_are_dropped_before_their_activation_are_reported() -> None:
+    state_machine = StateMachine()
+    watch = Watch(SECOND, 0)
+    dropped = []
+    for version in range(1, MAX_STAGED_VERSIONS + 3):
+        change = ConfigurationChange(True, encode_configuration(version, version - 1, 1))
+        state_machine.apply(version, encode_command(change))
+        dropped += watch.observe_staged_versions(0, state_machine.state)
+    assert dropped == [1, 2]
+    state_machine.apply(100, encode_command(Activate(5)))
+    assert watch.observe_staged_versions(0, state_machine.state) == []  # superseded by an active version
+
+
 def test_a_merged_version_is_activated_only_after_its_delay() -> None:
     """Guards against a request that takes the old route after another one took the merged route, at a proxy
     that timed out during a partition; it applies to requests that may run at most once.
