--- a/tests/gateway/proxy/test_operation_transport.py
+++ b/tests/gateway/proxy/test_operation_transport.py
@@ -103,6 +103,33 @@
     assert network.context.metrics.claims_unanswered == 2
 
 
+async def test_the_calls_to_controllers_do_not_grow_with_the_claims_that_wait_for_a_leader(
+    network: Network,
+) -> None:
+    async def calls_of(claim_count: int) -> int:
+        network.called_addresses.clear()
+        claims = network.transport._claims
+        until_us = now_us() + SECOND // 2
+        pending = [asyncio.create_task(claims.claim(CLAIM, until_us)) for _ in range(claim_count)]
+        assert await asyncio.gather(*pending) == [None] * claim_count
+        return len(network.called_addresses)
+
+    network.replies = dict.fromkeys((A, B, C), rpc_messages.ClaimReply(False))
+    alone = await calls_of(1)
+    assert await calls_of(64) <= alone + 2 * 64  # each claim calls once itself, and once after the search
+
+
+async def test_all_waiting_claims_are_sent_when_the_search_has_found_the_leader(network: Network) -> None:
+    network.replies = dict.fromkeys((A, B, C), rpc_messages.ClaimReply(False))
+    until_us = now_us() + 2 * SECOND
+    claims = [asyncio.create_task(network.transport._claims.claim(CLAIM, until_us)) for _ in range(8)]
+    await asyncio.sleep(0.2)
+    elected_us = now_us()
+    network.replies = {A: rpc_messages.ClaimReply(False, leader_address=B), B: GRANTED, C: None}
+    assert await asyncio.gather(*claims) == [ClaimResult("mine-1", OWN_ADDRESS)] * 8
+    assert now_us() - elected_us < 2.5 * HEDGE_DELAY_S * SECOND
+
+
 async def test_an_outcome_query_is_retried_a_bounded_number_of_times_after_connection_failures(
     network: Network,
 ) -> None:
