Requests wait for a server by rank and deadline, while a run fits into the caller's time

Who was served first was chance: each waiting request polled for itself. Change: one queue a service, ordered by rank (tenant's, route's) and deadline; every fourth turn for lower ranks; bounded in number and bytes; woken by the end of an attempt. A request leaves it when a run no longer fits, or at once where by Little's law its turn comes too late. Retry-After is the time of the work ahead. Retries that have not run wait as well. QUOTA: an owner takes a unit to arrive within 0.25 s, so a waiting request gives its unit back and takes one at its turn; the wait for a claim already passed that bound (up to 0.45 of the caller's time).

--- a/lapisgrade/gateway/proxy/client_front.py
+++ b/lapisgrade/gateway/proxy/client_front.py
@@ -105,6 +105,7 @@
             rule=rule,
             tenant=tenant,
             service=self._router.split.choose(rule),
+            body_bytes=message.size,
             operation_key=key,
             handle=forwarded_request(client, message, headers.get(b"host", b""), request_id, tenant),
         )
--- a/lapisgrade/gateway/quota/client.py
+++ b/lapisgrade/gateway/quota/client.py
@@ -189,6 +189,16 @@
             self.unreported.value -= units
         return min(math.ceil(UNREPORTED_RETRY_S * SECOND), self.local_bucket.wait_us(now_us, units))
 
+    def put_back(self, now_us: int, units: float) -> None:
+        """Take back units that were granted within `MAX_GRANT_DELAY_S` and are not used.
+
+        They become part of the lease again; without one, the next call returns them to the count.
+        """
+        if self.lease_expires_us > now_us:
+            self.leased_units += units
+        else:
+            self.unreported.value -= units
+
     def retry_after_us(self, now_us: int, wait_us: int) -> int:
         """Return the delay in us after which a rejected request may retry.
 
--- a/lapisgrade/gateway/routing/balancer.py
+++ b/lapisgrade/gateway/routing/balancer.py
@@ -8,6 +8,7 @@
 """
 
 import math
+from collections.abc import Collection
 from functools import partial
 from random import Random
 
@@ -15,6 +16,7 @@
 from lapisgrade.gateway.membership.subsets import Subsets
 from lapisgrade.gateway.registry import ServerState
 from lapisgrade.gateway.routing.upstream_server import REMOVED_STATES, UpstreamAttempt, UpstreamServer
+from lapisgrade.gateway.routing.wait_queue import QueuedRequest, WaitQueue
 from lapisgrade.interface import AttemptOutcome, AttemptResult
 from lapisgrade.policy.latency import LatencyEstimate
 
@@ -28,6 +30,7 @@
 INITIAL_LATENCY_US = 100_000.0  # assumed latency of a service before its first response
 # Assumed latency of a route before its first response, as a fraction of the route's target time.
 INITIAL_LATENCY_RATIO = 0.3
+RUNS_AGE_US = 10_000  # how long a count of the runs in progress is used
 MAX_ROUTES = 2048  # number of routes with a latency estimate beyond which all estimates are dropped
 
 
@@ -37,6 +40,7 @@
     Attributes:
         overall_latency: Latency of successful attempts over all routes.
         servers: Servers by id.
+        queue: Requests that wait for one of the servers.
     """
 
     def __init__(self, random: Random, zone: str, subsets: Subsets) -> None:
@@ -52,6 +56,9 @@
         self._subsets = subsets
         self.overall_latency = LatencyEstimate(INITIAL_LATENCY_US)
         self.servers: dict[str, UpstreamServer] = {}
+        self.queue = WaitQueue()
+        self._runs = 0
+        self._runs_counted_us = -RUNS_AGE_US
         self._latencies: dict[str, LatencyEstimate] = {}  # by route
         # Revision of the subsets that the groups below were computed from; -1 if they are outdated.
         self._grouped_at_revision = -1
@@ -122,10 +129,7 @@
         They are sampled from this proxy's subset, the rest of the zone, and other zones. If none of the
         sampled servers fits, all servers outside the subset that fit are candidates.
         """
-
-        def fits(server: UpstreamServer) -> bool:
-            return server.has_capacity() and now_us >= server.ejected_until_us and server not in tried
-
+        fits = partial(_fits, now_us, tried)
         candidates = [server for server in self._own_subset if fits(server)]
         if len(candidates) > MAX_SUBSET_CANDIDATES:
             candidates = self._random.sample(candidates, MAX_SUBSET_CANDIDATES)
@@ -150,6 +154,47 @@
             return 0.0
         return OTHER_ZONE_PENALTY if server.registration.zone != self._zone else OTHER_SUBSET_PENALTY
 
+    # ---- waiting requests
+
+    def has_untried_server(self, tried: list[UpstreamServer]) -> bool:
+        """Return whether a server in state UP, free or not, had no attempt yet."""
+        return not tried or any(
+            server.registration.state == ServerState.UP and server not in tried
+            for server in self.servers.values()
+        )
+
+    def has_free_server(self, now_us: int, tried: Collection[UpstreamServer] = ()) -> bool:
+        """Return whether a server in state UP that was not tried yet has capacity and is not ejected."""
+        return any(
+            server.registration.state == ServerState.UP and _fits(now_us, tried, server)
+            for server in self.servers.values()
+        )
+
+    def expected_wait_us(self, now_us: int, entry: QueuedRequest) -> float:
+        """Return how long a request is expected to wait for a server, in us; 0 if nothing is in flight.
+
+        By Little's law, a run ends every mean latency / runs in progress.
+        """
+        runs = self._runs_in_progress(now_us)
+        if not runs:
+            return 0.0
+        return (self.queue.turns_before(entry) + 1) * self.overall_latency.mean(now_us) / runs
+
+    def expected_backlog_us(self, now_us: int) -> float:
+        """Return after which time the attempts in flight and the requests that wait now are done, in us."""
+        waiting_per_run = len(self.queue) / max(1, self._runs_in_progress(now_us))
+        return self.overall_latency.mean(now_us) * (1 + waiting_per_run)
+
+    def _runs_in_progress(self, now_us: int) -> int:
+        """Return the number of this proxy's attempts in flight with a slot, `RUNS_AGE_US` ago or later."""
+        if now_us - self._runs_counted_us >= RUNS_AGE_US:
+            self._runs_counted_us = now_us
+            self._runs = sum(
+                min(len(server.in_flight), max(1, server.registration.slots))
+                for server in self.servers.values()
+            )
+        return self._runs
+
     # ---- attempts
 
     def latency(self, route: str, target_us: int) -> LatencyEstimate:
@@ -231,3 +276,8 @@
     def in_flight(self) -> dict[str, int]:
         """Return this proxy's requests in flight by server id, without servers that have none."""
         return {server.address: len(server.in_flight) for server in self.servers.values() if server.in_flight}
+
+
+def _fits(now_us: int, tried: Collection[UpstreamServer], server: UpstreamServer) -> bool:
+    """Return whether a server has capacity, is not ejected and has not been tried."""
+    return server.has_capacity() and now_us >= server.ejected_until_us and server not in tried
--- a/lapisgrade/gateway/routing/request.py
+++ b/lapisgrade/gateway/routing/request.py
@@ -24,6 +24,7 @@
     rule: Rule
     tenant: Tenant | None  # None: a public route
     service: str
+    body_bytes: int = 0  # size of the body
     operation_key: str = ""  # empty if the request is not keyed
     response: outcomes.Outcome | None = None  # the server's complete response to a keyed request
 
--- a/lapisgrade/gateway/routing/request_attempts.py
+++ b/lapisgrade/gateway/routing/request_attempts.py
@@ -8,8 +8,9 @@
 State      Event                                            Next
 =========  ===============================================  =========
 SELECTING  server chosen, attempt started                   WAITING
-SELECTING  no server, no earlier attempt: queued            SELECTING
-SELECTING  no server for a retry, or retry budget spent     failed
+SELECTING  no server yet, or others are served before       SELECTING
+SELECTING  no server in the time left, or no retry budget   failed
+SELECTING  the tenant's quota is exhausted meanwhile        failed (429)
 WAITING    hedge timer                                      HEDGING
 HEDGING    server chosen, attempt started                   WAITING
 HEDGING    retry budget spent                               WAITING
@@ -19,15 +20,17 @@
 any        last attempt in flight fails, retry allowed      SELECTING
 any        last attempt in flight fails, no retry allowed   failed
 any        attempt answered, or client disconnected         finished
-SELECTING  queueing time-out                                failed
 WAITING    deadline                                         failed
 HEDGING    deadline                                         failed
 =========  ===============================================  =========
 
-* SELECTING: no attempt is in flight, and the first attempt or a retry needs a server.
+* SELECTING: no attempt is in flight, and the first attempt or a retry needs a server. The request waits in
+  the service's queue (`wait_queue`) as long as a run still fits into the caller's time (`time_left`), unless
+  too many are served before it.
 * WAITING: at least one attempt is in flight, and no other is due.
 * HEDGING: at least one attempt is in flight, and a hedge needs a second server (Dean and Barroso, "The Tail
-  at Scale", 2013). If no server is suitable, the search is repeated whenever an attempt finishes.
+  at Scale", 2013). If no server is suitable, or others wait for their first one, the search is repeated
+  whenever an attempt finishes.
 
 A non-idempotent request is retried only if no earlier attempt can have run, and it is never hedged. After its
 client disconnects, a request with an operation key continues while an attempt is in flight, so that repeats
@@ -39,12 +42,13 @@
 from enum import Enum, auto
 from http import HTTPStatus
 from random import Random
+from typing import Any
 
-from lapisgrade.gateway.configuration import Rule
 from lapisgrade.gateway.routing.balancer import UpstreamCluster
+from lapisgrade.gateway.routing.quota_grant import QuotaGrant
 from lapisgrade.gateway.routing.request import Respond, RoutedRequest
 from lapisgrade.gateway.routing.retry_budget import RetryBudget
-from lapisgrade.gateway.routing.time_left import response_deadline_us
+from lapisgrade.gateway.routing.time_left import last_start_us, response_deadline_us, spread_retry_after_us
 from lapisgrade.gateway.routing.upstream_server import UpstreamAttempt, UpstreamServer
 from lapisgrade.interface import (
     AttemptFinished,
@@ -52,18 +56,16 @@
     AttemptResult,
     Clock,
     RejectReason,
+    Resume,
     Send,
     Sleep,
     WakeReason,
 )
 from lapisgrade.policy.latency import LatencyEstimate
 
-# Maximum queueing time as a fraction of the target time. A rejection after a quarter of the target time is
-# penalised.
-MAX_QUEUE_RATIO = 0.2
-QUEUE_POLL_US = 8_000  # interval between searches for a server while a request is queued
-# Mean Retry-After of a request that no server has run, as a fraction of the target time.
-RETRY_AFTER_RATIO = 0.35
+# Interval between searches for a server by the request whose turn it is; attempts that end wake it as well.
+NEXT_POLL_US = 8_000
+QUEUE_POLL_US = 100_000  # the same for the other queued requests, which are woken when their turn comes
 # An overdue attempt takes longer than nearly all others: the mean latency plus this many deviations, and at
 # least this multiple of the mean.
 OVERDUE_DEVIATIONS = 4.0
@@ -90,11 +92,12 @@
         "_attempts",
         "_clock",
         "_cluster",
+        "_entry",
+        "_grant",
         "_hedge_at_us",
         "_latency",
         "_may_have_run",
         "_overdue_at_us",
-        "_queue_deadline_us",
         "_random",
         "_reached_count",
         "_request",
@@ -109,8 +112,9 @@
         random: Random,
         cluster: UpstreamCluster,
         retry_budget: RetryBudget,
+        grant: QuotaGrant | None = None,
     ) -> None:
-        """Create a request that has no attempt yet; its time in the queue starts now.
+        """Create a request that has no attempt yet.
 
         Args:
             request: The client's request.
@@ -118,6 +122,7 @@
             random: The router's random number generator.
             cluster: The servers of the request's service.
             retry_budget: The service's retry budget.
+            grant: The request's unit of its tenant's quota; None if the tenant has no limit.
         """
         rule = request.rule
         self._request = request
@@ -125,6 +130,8 @@
         self._random = random
         self._cluster = cluster
         self._retry_budget = retry_budget
+        self._grant = grant
+        self._entry = cluster.queue.entry(request)
         self._latency: LatencyEstimate = cluster.latency(rule.name, rule.target_time)
         self._state = State.SELECTING
         self._attempts: list[UpstreamAttempt] = []
@@ -132,56 +139,134 @@
         self._may_have_run = False  # whether any finished attempt may have run
         self._hedge_at_us = request.deadline_us  # when the next hedge is due
         self._overdue_at_us = request.deadline_us  # when the latest attempt is overdue
-        self._queue_deadline_us = self._compute_queue_deadline(clock.now_us)
 
-    def run(self) -> Generator[Send | Sleep | Respond, WakeReason | AttemptFinished | None, None]:
+    def run(self) -> Generator[Any, Any, None]:
         """Yield attempts and timers until the request is answered or fails."""
         while True:
+            try:
+                server, refusal = yield from self._wait_for_server()
+            finally:
+                self._cluster.queue.remove(self._entry)
+            if self._request.is_abandoned:
+                yield from self._wake_next()
+                return
+            if server is None:
+                yield from self._wake_next()
+                yield refusal or self._failure_response()
+                return
+            yield Send(self._start_attempt(server))
+            yield from self._wake_next()
+            if (yield from self._await_attempts()):
+                return
+
+    # ---- waiting for a server
+
+    def _wait_for_server(self) -> Generator[Any, Any, tuple[UpstreamServer | None, Respond | None]]:
+        """Wait for the server of the first attempt or a retry, while no attempt is in flight.
+
+        Returns:
+            The server, or None; and the response if the tenant's quota was exhausted meanwhile.
+        """
+        queue, entry = self._cluster.queue, self._entry
+        self._state = State.SELECTING
+        while not (self._request.is_abandoned or entry.is_displaced):
             now_us = self._clock.now_us
-            usual_us = self._latency.mean(now_us)
-            server = self._select_server(now_us, usual_us)
-            if server is not None:
-                yield Send(self._start_attempt(server, now_us))
-                self._schedule_hedge(now_us, usual_us)
-            elif self._state is State.SELECTING and not self._may_queue(now_us):
+            if self._is_due(now_us):
+                if self._grant is not None and not self._grant.is_fresh() and not self._may_have_run:
+                    entry.is_passed_over = True  # the others don't wait for the count as well
+                    refusal = yield from self._grant.take()
+                    if refusal is not None:
+                        return None, refusal
+                    continue
+                if self._needs_retry_budget(0) and not self._retry_budget.try_spend(now_us):
+                    return None, None
+                queue.serve(entry)
+                return self._cluster.choose(now_us, self._latency.mean(now_us), self._tried_servers()), None
+            if not self._may_wait(now_us):
+                return None, None
+            yield from self._enter_queue()
+            if entry.is_displaced:
                 break
+            yield Sleep(min(self._next_poll_us(now_us), self._last_start_us(now_us)))
+        return None, None
+
+    def _is_due(self, now_us: int) -> bool:
+        """Return whether the request's turn has come and a suitable server has capacity."""
+        if not self._has_attempts_left(0):
+            return False
+        entry = self._entry
+        if not entry.is_passed_over and not self._cluster.queue.precedes_all(entry):
+            return False
+        is_suitable = self._cluster.has_free_server(now_us, self._tried_servers())
+        entry.is_passed_over = not is_suitable and self._cluster.has_free_server(now_us)
+        return is_suitable
 
-            event = yield Sleep(self._next_timer_us(now_us))
+    def _may_wait(self, now_us: int) -> bool:
+        """Return whether a server is expected while a run still fits into the caller's time."""
+        if not self._has_attempts_left(0):
+            return False
+        if not self._cluster.has_untried_server(self._tried_servers()):
+            return False
+        return now_us + self._cluster.expected_wait_us(now_us, self._entry) < self._last_start_us(now_us)
+
+    def _enter_queue(self) -> Generator[Any, Any, None]:
+        """Join the queue, without a unit of the quota; wake those that have no room in it any more."""
+        if self._grant is not None:
+            self._grant.put_back()
+        for displaced in self._cluster.queue.add(self._entry):
+            yield Resume(displaced.request)
+        if self._entry.is_passed_over:
+            yield from self._wake_next()
+
+    def _wake_next(self) -> Generator[Any, Any, None]:
+        """Wake the request that is served next."""
+        next_entry = self._cluster.queue.next()
+        if next_entry is not None and next_entry is not self._entry:
+            yield Resume(next_entry.request)
+
+    def _next_poll_us(self, now_us: int) -> int:
+        is_next = self._entry.is_passed_over or self._cluster.queue.next() is self._entry
+        return now_us + (NEXT_POLL_US if is_next else QUEUE_POLL_US)
+
+    def _last_start_us(self, now_us: int) -> int:
+        return last_start_us(self._request, self._latency, now_us)
+
+    def _tried_servers(self) -> list[UpstreamServer]:
+        return [attempt.server for attempt in self._attempts]
+
+    # ---- waiting for a response
+
+    def _await_attempts(self) -> Generator[Any, Any, bool]:
+        """Wait until an attempt is answered or the request fails, and hedge; return False for a retry."""
+        self._schedule_hedge(self._clock.now_us)
+        while True:
+            event = yield Sleep(self._next_timer_us())
             if event is WakeReason.CLIENT_DISCONNECTED and not self._continues_without_client():
-                return
-            if self._state is State.SELECTING:
-                continue  # still queued
+                return True
             if isinstance(event, AttemptFinished):
                 self._record_result(event.result)
+                yield from self._wake_next()
                 if event.result.is_final:
-                    return
-                if not self._should_continue():
+                    return True
+                if not self._in_flight():
                     break
             elif self._is_timed_out():
                 yield Respond(RejectReason.FAILED, 0, HTTPStatus.GATEWAY_TIMEOUT)
-                return
+                return True
             else:
                 self._on_timer()
+            if self._state is State.HEDGING:
+                server = self._select_hedge_server(self._clock.now_us)
+                if server is not None:
+                    yield Send(self._start_attempt(server))
+                    self._schedule_hedge(self._clock.now_us)
+        if self._may_retry():
+            return False
         yield self._failure_response()
+        return True
 
-    # ---- deadlines
-
-    def _compute_queue_deadline(self, now_us: int) -> int:
-        """Return the time in us until which the request may be queued for its first server."""
-        max_until_us = now_us + int(MAX_QUEUE_RATIO * self._request.rule.target_time)
-        return min(max_until_us, self._latest_start_us())
-
-    def _latest_start_us(self) -> int:
-        """Return the time in us from which on a queued request or a retry is not sent.
-
-        Its response would no longer reach the client in time.
-        """
-        return response_deadline_us(self._request)
-
-    def _next_timer_us(self, now_us: int) -> int:
-        """Return the time in us of the next search for a server, the next hedge or the request's deadline."""
-        if self._state is State.SELECTING:
-            return min(now_us + QUEUE_POLL_US, self._queue_deadline_us)
+    def _next_timer_us(self) -> int:
+        """Return the time in us of the next hedge or the request's deadline."""
         if self._request.is_idempotent:
             return min(self._hedge_at_us, self._request.deadline_us)
         return self._request.deadline_us
@@ -189,11 +274,7 @@
     def _is_timed_out(self) -> bool:
         return self._clock.now_us >= self._request.deadline_us - TIMER_SLACK_US
 
-    # ---- server selection and limits on attempts
-
-    def _may_queue(self, now_us: int) -> bool:
-        """Return whether the request may stay queued for its first server."""
-        return not self._attempts and now_us < self._queue_deadline_us
+    # ---- limits on attempts
 
     def _has_attempts_left(self, in_flight: int) -> bool:
         """Return whether the route allows another attempt in addition to those in flight.
@@ -207,30 +288,6 @@
             started < max(allowed, 1) + MAX_UNREACHED_ATTEMPTS and self._reached_count + in_flight < allowed
         )
 
-    def _select_server(self, now_us: int, usual_us: float) -> UpstreamServer | None:
-        """Choose the server of the next attempt and charge the retry budget.
-
-        Returns:
-            The server, or None if no attempt is due, allowed or possible now.
-        """
-        if self._state is State.WAITING:
-            return None
-        in_flight = len(self._in_flight())
-        if not self._has_attempts_left(in_flight):
-            return None
-        is_early_hedge = bool(in_flight) and now_us < self._overdue_at_us
-        max_latency_us = HEDGE_LATENCY_RATIO * usual_us if is_early_hedge else math.inf
-        tried = [attempt.server for attempt in self._attempts]
-        server = self._cluster.choose(now_us, usual_us, tried, max_latency_us)
-        if server is None or not self._needs_retry_budget(in_flight):
-            return server
-        if self._retry_budget.try_spend(now_us, is_early_hedge):
-            return server
-        if in_flight:
-            # No budget: an early hedge is tried again when the attempt is overdue, a later one is dropped.
-            self._state = State.WAITING
-        return None
-
     def _needs_retry_budget(self, in_flight: int) -> bool:
         """Return whether the next attempt is charged to the retry budget.
 
@@ -238,7 +295,8 @@
         """
         return bool(self._reached_count or in_flight)
 
-    def _start_attempt(self, server: UpstreamServer, now_us: int) -> UpstreamAttempt:
+    def _start_attempt(self, server: UpstreamServer) -> UpstreamAttempt:
+        now_us = self._clock.now_us
         attempt = UpstreamAttempt(self._request, server, len(self._attempts), now_us)
         self._attempts.append(attempt)
         self._cluster.on_attempt_started(now_us, attempt)
@@ -249,8 +307,24 @@
 
     # ---- hedging
 
-    def _schedule_hedge(self, now_us: int, usual_us: float) -> None:
+    def _select_hedge_server(self, now_us: int) -> UpstreamServer | None:
+        """Choose the server of a hedge and charge the retry budget; None if there is none now."""
+        in_flight = len(self._in_flight())
+        if self._cluster.queue or not self._has_attempts_left(in_flight):
+            return None
+        usual_us = self._latency.mean(now_us)
+        is_early_hedge = now_us < self._overdue_at_us
+        max_latency_us = HEDGE_LATENCY_RATIO * usual_us if is_early_hedge else math.inf
+        server = self._cluster.choose(now_us, usual_us, self._tried_servers(), max_latency_us)
+        if server is None or self._retry_budget.try_spend(now_us, is_early_hedge):
+            return server
+        # No budget: an early hedge is tried again when the attempt is overdue, a later one is dropped.
+        self._state = State.WAITING
+        return None
+
+    def _schedule_hedge(self, now_us: int) -> None:
         """Compute when the attempt that has just started is overdue, and when it is hedged."""
+        usual_us = self._latency.mean(now_us)
         deviation_us = self._latency.deviation(now_us)
         overdue_after_us = max(MIN_OVERDUE_RATIO * usual_us, usual_us + OVERDUE_DEVIATIONS * deviation_us)
         self._overdue_at_us = now_us + int(overdue_after_us)
@@ -299,18 +373,9 @@
         if not result.outcome.never_ran:
             self._may_have_run = True
 
-    def _should_continue(self) -> bool:
-        """Return whether the request continues after a failed attempt."""
-        if self._in_flight():
-            return True
-        if not self._may_retry():
-            return False
-        self._state = State.SELECTING
-        return True
-
     def _may_retry(self) -> bool:
         """Return whether a retry is allowed when no attempt is in flight."""
-        if self._clock.now_us >= self._latest_start_us():
+        if self._clock.now_us >= response_deadline_us(self._request):
             return False
         return self._request.is_idempotent or not self._may_have_run
 
@@ -318,13 +383,6 @@
         """Return the response to a failed request: 503 if it has certainly not run, otherwise 502."""
         if self._may_have_run:
             return Respond(RejectReason.FAILED, 0, HTTPStatus.BAD_GATEWAY)
-        delay_us = retry_after_us(self._random, self._request.rule)
+        backlog_us = self._cluster.expected_backlog_us(self._clock.now_us)
+        delay_us = spread_retry_after_us(self._random, backlog_us)
         return Respond(RejectReason.RETRY_LATER, delay_us, HTTPStatus.SERVICE_UNAVAILABLE)
-
-
-def retry_after_us(random: Random, rule: Rule) -> int:
-    """Return the Retry-After in us of a request that no server has run.
-
-    It is randomized, so that requests that were rejected together are not retried together.
-    """
-    return math.ceil(rule.target_time * RETRY_AFTER_RATIO * (0.5 + random.random()))
--- a/lapisgrade/gateway/routing/router.py
+++ b/lapisgrade/gateway/routing/router.py
@@ -22,7 +22,8 @@
 from lapisgrade.gateway.routing.balancer import UpstreamCluster
 from lapisgrade.gateway.routing.idle_connections import IdleConnections
 from lapisgrade.gateway.routing.keyed_request import KeyedRequest
-from lapisgrade.gateway.routing.request import Respond, RoutedRequest
+from lapisgrade.gateway.routing.quota_grant import QuotaGrant
+from lapisgrade.gateway.routing.request import RoutedRequest
 from lapisgrade.gateway.routing.request_attempts import RequestAttempts
 from lapisgrade.gateway.routing.retry_budget import RetryBudget
 from lapisgrade.gateway.routing.route_table import RouteMatch, RouteTable
@@ -30,13 +31,12 @@
 from lapisgrade.gateway.routing.split import SplitChooser
 from lapisgrade.gateway.routing.upstream_server import UpstreamAttempt
 from lapisgrade.gateway.settings import Slo
-from lapisgrade.interface import AttemptOutcome, AttemptResult, Clock, RejectReason
+from lapisgrade.interface import AttemptOutcome, AttemptResult, Clock
 
 STALE_CONNECTION_BLAME = 0.3  # weight of a failure if the server probably dropped an idle connection
 MAX_QUOTA_CLIENTS = 8192  # maximum number of quota clients; the least recently used one is evicted
 # Maximum number of server ids with a known service, including departed servers; beyond it all are dropped.
 MAX_SERVER_IDS = 4 * registry.MAX_SERVERS
-MIN_RETRY_AFTER_US = 1_000  # minimum Retry-After of a request that exceeds its tenant's quota
 
 
 class Router:
@@ -176,23 +176,27 @@
     def handle(self, request: RoutedRequest) -> Generator[Any, Any, None]:
         """Serve a request, or answer 429 if its tenant's quota is exceeded; a generator for the engine."""
         self.retry_budget(request.service).on_request(self.clock.now_us)
-        if request.tenant is not None and request.tenant.rate_s > 0:
-            quota_client = self.quota_client(request.tenant)
-            quota_client.last_used_us = self.clock.now_us
-            wait_us = yield from quota_client.admit(request)
-            if request.is_abandoned:
-                return
-            if wait_us is not None:
-                minimum_us = max(MIN_RETRY_AFTER_US, int(wait_us))
-                retry_after_us = quota_client.retry_after_us(self.clock.now_us, minimum_us)
-                yield Respond(RejectReason.RETRY_LATER, retry_after_us, HTTPStatus.TOO_MANY_REQUESTS)
-                return
-        yield from self.serve(request)
-
-    def serve(self, request: RoutedRequest) -> Generator[Any, Any, None]:
-        """Return the generator for the engine that serves an admitted request."""
+        if request.tenant is None or request.tenant.rate_s <= 0:
+            yield from self.serve(request)
+            return
+        grant = QuotaGrant(self.clock, request, partial(self.quota_client, request.tenant))
+        refusal = yield from grant.take()
+        if request.is_abandoned:
+            return
+        if refusal is not None:
+            yield refusal
+            return
+        yield from self.serve(request, grant)
+
+    def serve(self, request: RoutedRequest, grant: QuotaGrant | None = None) -> Generator[Any, Any, None]:
+        """Return the generator for the engine that serves an admitted request.
+
+        Args:
+            request: The request.
+            grant: Its unit of its tenant's quota; None if the tenant has no limit.
+        """
         if not request.operation_key:
-            return self._make_attempts(request).run()
+            return self._make_attempts(request, grant).run()
         latency = self.cluster(request.service).latency(request.rule.name, request.rule.target_time)
         keyed_request = KeyedRequest(
             request,
@@ -200,14 +204,14 @@
             self.random,
             self.operation_attempts,
             latency,
-            partial(self._make_attempts, request),
+            partial(self._make_attempts, request, grant),
         )
         return keyed_request.run()
 
-    def _make_attempts(self, request: RoutedRequest) -> RequestAttempts:
+    def _make_attempts(self, request: RoutedRequest, grant: QuotaGrant | None) -> RequestAttempts:
         """Create the attempts of a request at its service's servers."""
         cluster, retry_budget = self.cluster(request.service), self.retry_budget(request.service)
-        return RequestAttempts(request, self.clock, self.random, cluster, retry_budget)
+        return RequestAttempts(request, self.clock, self.random, cluster, retry_budget, grant)
 
     def on_attempt_finished(self, attempt: UpstreamAttempt, result: AttemptResult) -> None:
         """Update the idle limit, load and health of the attempt's server.
