A proxy sends a server as much as it took before, and queues the rest by rank

Callers saw: under threefold load as many of Prio 3 as of Prio 0 were served: each proxy sent every server three requests beyond its slots, servers rejected them, and after Tries rejections callers of any rank got 503. Cause: where requests wait at servers, or are rejected by them, no order of ours has an effect. Change: one request beyond the slots; a rejection sets the number in flight that the server takes, each response raises it by 1 / that number (additive increase); a server that rejects a proxy's only attempt is left alone for a slot's time. One slot, 40 callers with 1 s: three 504 before, none now.

--- a/lapisgrade/gateway/routing/balancer.py
+++ b/lapisgrade/gateway/routing/balancer.py
@@ -249,7 +249,7 @@
             # The server has responded, or no attempt is left that it could respond to.
             server.unresponsive_since_us = now_us if server.in_flight else 0
         if outcome is AttemptOutcome.OVERLOADED:
-            server.on_rejection(now_us)
+            server.on_rejection(now_us, self.overall_latency.mean(now_us))
         elif outcome is AttemptOutcome.OK:
             self._on_success(now_us, server, latency, result.duration_us)
         elif outcome not in (AttemptOutcome.CANCELLED, AttemptOutcome.NOT_SENT):
@@ -280,4 +280,4 @@
 
 def _fits(now_us: int, tried: Collection[UpstreamServer], server: UpstreamServer) -> bool:
     """Return whether a server has capacity, is not ejected and has not been tried."""
-    return server.has_capacity() and now_us >= server.ejected_until_us and server not in tried
+    return server.has_capacity(now_us) and now_us >= server.ejected_until_us and server not in tried
--- a/lapisgrade/gateway/routing/upstream_server.py
+++ b/lapisgrade/gateway/routing/upstream_server.py
@@ -19,7 +19,9 @@
 UNREPORTED_REQUESTS = 0.05  # expected requests at a server of the subset by proxies that are not neighbours
 LOAD_REPORT_DECAY_US = 400_000  # time constant of a reported load's decay; the duration of a few requests
 DEFAULT_OTHER_PROXIES_LOAD = 0.5  # assumed requests of other proxies at a server without a recent report
-MAX_QUEUED = 3  # number by which this proxy's requests at a server may exceed its slots
+# Number by which this proxy's requests at a server may exceed its slots: the next one is there when a slot
+# becomes free. The others wait in this proxy's queue, as a server doesn't know their order of service.
+MAX_QUEUED = 1
 UNHEALTHY_REPORT_WEIGHT = 1.5  # number of this proxy's successes that outweigh one neighbour's report
 PRIOR_WEIGHT = 2.0  # weight, in responses, of the assumption that a server has normal health and speed
 MIN_HEALTH = 0.02  # prevents a division by zero in the expected latency
@@ -47,6 +49,9 @@
         reported_load: Number of other proxies' requests by the server's last load report, or assumed after a
             rejection.
         reported_us: Time of that report or rejection; 0 if there was none.
+        max_in_flight: Number of this proxy's attempts that the server takes at once: one more after as many
+            responses, and those in flight when it rejects one (additive increase).
+        full_until_us: When a slot may be free again after a rejection of this proxy's only attempt.
         ejected_until_us: Until then, no request is sent to the server; 0 if it was never ejected.
     """
 
@@ -59,6 +64,8 @@
         self.warm_up_ends_us = now_us + registration.warm_up_us
         self.reported_load = 0.0
         self.reported_us = 0
+        self.max_in_flight = float(registration.slots + MAX_QUEUED)
+        self.full_until_us = 0
         self.ejected_until_us = 0
 
     def is_removed(self) -> bool:
@@ -68,9 +75,9 @@
         """
         return self.registration.state in REMOVED_STATES
 
-    def has_capacity(self) -> bool:
+    def has_capacity(self, now_us: int) -> bool:
         """Return whether this proxy may send the server another request."""
-        return len(self.in_flight) < self.registration.slots + MAX_QUEUED
+        return len(self.in_flight) + 1 <= self.max_in_flight and now_us >= self.full_until_us
 
     def other_proxies_load(self, now_us: int, neighbours_in_flight: int | None) -> float:
         """Return the expected number of other proxies' requests at the server.
@@ -96,8 +103,16 @@
         self.reported_load = max(0.0, running + waiting - len(self.in_flight) - 1.0)
         self.reported_us = now_us
 
-    def on_rejection(self, now_us: int) -> None:
-        """Record that the server rejected a request for lack of capacity."""
+    def on_rejection(self, now_us: int, mean_us: float) -> None:
+        """Record that the server rejected a request for lack of capacity.
+
+        Args:
+            now_us: The current time.
+            mean_us: Mean latency of the service's requests.
+        """
+        self.max_in_flight = float(max(1, len(self.in_flight)))
+        if not self.in_flight:
+            self.full_until_us = now_us + int(mean_us / max(1, self.registration.slots))
         self.reported_load = float(self.registration.slots + REJECTED_EXTRA_LOAD)
         self.reported_us = now_us
 
@@ -141,6 +156,8 @@
         self.latency_ratio.add(now_us, min(latency_ratio, MAX_LATENCY_RATIO))
         self.latency_samples.add(now_us, 1)
         self.successes.add(now_us, 1)
+        maximum = float(self.registration.slots + MAX_QUEUED)
+        self.max_in_flight = min(maximum, self.max_in_flight + 1 / self.max_in_flight)
 
     def on_failure(self, now_us: int, blame: float) -> None:
         """Record a failure, and eject a server whose requests mostly fail (outlier detection).
