A hedge starts when nearly all attempts have ended, not by the target time

Callers saw: of two requests alike but for Target_time the one was hedged after 1.5 times the usual latency, the other after three times, and a request that had arrived earlier not before that either. Change: the hedge starts at the mean and two deviations (about the 95th percentile, Dean and Barroso 2013), never while others wait for their first server, and not where it could not answer in the caller's time. The overdue one is as it was.

--- a/lapisgrade/gateway/routing/request_attempts.py
+++ b/lapisgrade/gateway/routing/request_attempts.py
@@ -70,9 +70,10 @@
 # least this multiple of the mean.
 OVERDUE_DEVIATIONS = 4.0
 MIN_OVERDUE_RATIO = 2.5
-# Time that a hedge is given to answer within the target time, as a multiple of the mean latency.
+# A hedge starts when about 19 of 20 attempts have ended: the mean latency plus this many deviations.
+HEDGE_DEVIATIONS = 2.0
+# Maximum expected latency at the server of such a hedge, as a multiple of the mean latency: a free slot.
 HEDGE_LATENCY_RATIO = 1.25
-CLIENT_ROUND_TRIP_US = 20_000  # round trip between client and proxy, which is part of the target time
 MAX_UNREACHED_ATTEMPTS = 2  # attempts beyond the route's limit, for those that do not reach a server
 TIMER_SLACK_US = 1  # the deadline timer may fire this much early because of rounding
 
@@ -313,6 +314,8 @@
         if self._cluster.queue or not self._has_attempts_left(in_flight):
             return None
         usual_us = self._latency.mean(now_us)
+        if now_us + usual_us > response_deadline_us(self._request):
+            return None  # it would usually not answer in the caller's time
         is_early_hedge = now_us < self._overdue_at_us
         max_latency_us = HEDGE_LATENCY_RATIO * usual_us if is_early_hedge else math.inf
         server = self._cluster.choose(now_us, usual_us, self._tried_servers(), max_latency_us)
@@ -323,29 +326,17 @@
         return None
 
     def _schedule_hedge(self, now_us: int) -> None:
-        """Compute when the attempt that has just started is overdue, and when it is hedged."""
-        usual_us = self._latency.mean(now_us)
-        deviation_us = self._latency.deviation(now_us)
+        """Compute when the attempt that has just started is hedged, and when it is overdue.
+
+        The first hedge goes to a server with a free slot and leaves a part of the budget to retries. The
+        server of an overdue attempt probably doesn't respond any more; the second hedge goes to any server.
+        """
+        usual_us, deviation_us = self._latency.mean(now_us), self._latency.deviation(now_us)
         overdue_after_us = max(MIN_OVERDUE_RATIO * usual_us, usual_us + OVERDUE_DEVIATIONS * deviation_us)
         self._overdue_at_us = now_us + int(overdue_after_us)
-        self._hedge_at_us = self._hedge_time(now_us, usual_us, deviation_us)
+        self._hedge_at_us = now_us + int(usual_us + HEDGE_DEVIATIONS * deviation_us)
         self._state = State.WAITING
 
-    def _hedge_time(self, now_us: int, usual_us: float, deviation_us: float) -> int:
-        """Return when to hedge an idempotent request whose attempt starts now, in us.
-
-        The hedge starts early enough to be answered within the target time, unless the attempt would not have
-        had its usual latency by then; in that case it starts when the attempt is overdue. This limits the
-        damage from servers that become slow or stop responding: a response after the target time may be worth
-        a tenth.
-        """
-        request = self._request
-        hedge_latency_us = int(HEDGE_LATENCY_RATIO * usual_us)
-        latest_us = request.arrived_us + request.rule.target_time - CLIENT_ROUND_TRIP_US - hedge_latency_us
-        if latest_us < now_us + usual_us + deviation_us:
-            return self._overdue_at_us
-        return min(latest_us, self._overdue_at_us)
-
     def _on_timer(self) -> None:
         """Start a hedge if it is due; an early hedge is retried once, when the attempt is overdue."""
         now_us = self._clock.now_us
