A new route starts from its service's latency, not from a share of its target time

Callers saw: of two new routes of one service the one with the longer Target_time waited shorter for a server and was hedged later, though their work is the same: the estimate began at 0.3 of the target time. Change: it begins at the service's mean. While nothing is known of a service's work, a hedge is due after half of the caller's time, instead of at a multiple of a guess; a restarted proxy would else hedge every long request.

--- a/lapisgrade/gateway/routing/balancer.py
+++ b/lapisgrade/gateway/routing/balancer.py
@@ -28,8 +28,6 @@
 OTHER_ZONE_PENALTY = 0.12
 JITTER = 0.02  # maximum random increase of the expected latency; spreads load over equal servers
 INITIAL_LATENCY_US = 100_000.0  # assumed latency of a service before its first response
-# Assumed latency of a route before its first response, as a fraction of the route's target time.
-INITIAL_LATENCY_RATIO = 0.3
 RUNS_AGE_US = 10_000  # how long a count of the runs in progress is used
 MAX_ROUTES = 2048  # number of routes with a latency estimate beyond which all estimates are dropped
 
@@ -197,18 +195,13 @@
 
     # ---- attempts
 
-    def latency(self, route: str, target_us: int) -> LatencyEstimate:
-        """Return the latency estimate of a route, a new one if it has none.
-
-        Args:
-            route: Name of the route.
-            target_us: The route's target time, from which a new estimate starts.
-        """
+    def latency(self, now_us: int, route: str) -> LatencyEstimate:
+        """Return the latency estimate of a route; a new one starts from the service's latency."""
         latency = self._latencies.get(route)
         if latency is None:
             if len(self._latencies) > MAX_ROUTES:  # bounds memory when routes change
                 self._latencies.clear()
-            latency = self._latencies[route] = LatencyEstimate(INITIAL_LATENCY_RATIO * target_us)
+            latency = self._latencies[route] = LatencyEstimate(self.overall_latency.mean(now_us))
         return latency
 
     def on_attempt_started(self, now_us: int, attempt: UpstreamAttempt) -> None:
--- a/lapisgrade/gateway/routing/request_attempts.py
+++ b/lapisgrade/gateway/routing/request_attempts.py
@@ -125,7 +125,6 @@
             retry_budget: The service's retry budget.
             grant: The request's unit of its tenant's quota; None if the tenant has no limit.
         """
-        rule = request.rule
         self._request = request
         self._clock = clock
         self._random = random
@@ -133,7 +132,7 @@
         self._retry_budget = retry_budget
         self._grant = grant
         self._entry = cluster.queue.entry(request)
-        self._latency: LatencyEstimate = cluster.latency(rule.name, rule.target_time)
+        self._latency: LatencyEstimate = cluster.latency(clock.now_us, request.rule.name)
         self._state = State.SELECTING
         self._attempts: list[UpstreamAttempt] = []
         self._reached_count = 0  # finished attempts that reached a server
@@ -330,12 +329,16 @@
 
         The first hedge goes to a server with a free slot and leaves a part of the budget to retries. The
         server of an overdue attempt probably doesn't respond any more; the second hedge goes to any server.
+        While nothing is known of the work, both are due after half of the caller's time.
         """
+        self._state = State.WAITING
+        if not self._latency.is_known(now_us):
+            self._hedge_at_us = self._overdue_at_us = (now_us + self._request.deadline_us) // 2
+            return
         usual_us, deviation_us = self._latency.mean(now_us), self._latency.deviation(now_us)
         overdue_after_us = max(MIN_OVERDUE_RATIO * usual_us, usual_us + OVERDUE_DEVIATIONS * deviation_us)
         self._overdue_at_us = now_us + int(overdue_after_us)
         self._hedge_at_us = now_us + int(usual_us + HEDGE_DEVIATIONS * deviation_us)
-        self._state = State.WAITING
 
     def _on_timer(self) -> None:
         """Start a hedge if it is due; an early hedge is retried once, when the attempt is overdue."""
--- a/lapisgrade/gateway/routing/router.py
+++ b/lapisgrade/gateway/routing/router.py
@@ -197,7 +197,7 @@
         """
         if not request.operation_key:
             return self._make_attempts(request, grant).run()
-        latency = self.cluster(request.service).latency(request.rule.name, request.rule.target_time)
+        latency = self.cluster(request.service).latency(self.clock.now_us, request.rule.name)
         keyed_request = KeyedRequest(
             request,
             self.clock,
@@ -225,7 +225,7 @@
         was_stale = self.idle_connections.on_attempt_finished(
             now_us, attempt, request.service, was_broken, result.duration_us
         )
-        latency = cluster.latency(request.rule.name, request.rule.target_time)
+        latency = cluster.latency(self.clock.now_us, request.rule.name)
         blame = STALE_CONNECTION_BLAME if was_stale else 1.0
         cluster.on_attempt_finished(now_us, attempt, result, latency, blame)
 
--- a/lapisgrade/lab/balancing/choosers.py
+++ b/lapisgrade/lab/balancing/choosers.py
@@ -153,7 +153,7 @@
             {spec.name(each): ("", "", spec.zone(each)) for each in range(spec.limiters)}
         )
         self.cluster = UpstreamCluster(random, spec.zone(number), self.subsets)
-        self.latency = self.cluster.latency("r", spec.latency_target_us)  # all requests have one route
+        self.latency = self.cluster.latency(0, "r")  # all requests have one route
         self.number_by_name = {each.name: each.number for each in servers}
         # All servers are registered from the start, under one address that is never connected to.
         for each in servers:
--- a/lapisgrade/policy/latency.py
+++ b/lapisgrade/policy/latency.py
@@ -31,6 +31,10 @@
         self._attempts.add(now_us, 1)
         self._units.add(now_us, units)
 
+    def is_known(self, now_us: int) -> bool:
+        """Whether the estimate rests on recent attempts rather than on its initial value."""
+        return self._attempts.read(now_us) >= 1
+
     def mean(self, now_us: int) -> float:
         """The mean latency in us."""
         total = self._latencies.read(now_us) + LATENCY_PRIOR_WEIGHT * self._initial_us
