A repeat waits for the first attempt's answer as long as its own caller does

Callers saw: a repeat with 2.5 s was told 409 at 85 % of its time though the first attempt would have ended in time. Cause: 15 % of the caller's time was reserved for the reply of another proxy, a round trip of some milliseconds. Change: 60 ms for the reply, whatever the caller's time. Evidence: both new tests fail before (a wait of 0.68 of 0.8 s; UNKNOWN for a late reply).

--- a/lapisgrade/gateway/proxy/operation_transport.py
+++ b/lapisgrade/gateway/proxy/operation_transport.py
@@ -9,7 +9,7 @@
 from lapisgrade.gateway import SECOND, rpc_messages
 from lapisgrade.gateway.membership.partial_view import is_address
 from lapisgrade.gateway.operations.attempts import OperationAttempts
-from lapisgrade.gateway.operations.outcomes import UNKNOWN, Outcome, OutcomeState
+from lapisgrade.gateway.operations.outcomes import RUNNING, UNKNOWN, Outcome, OutcomeState
 from lapisgrade.gateway.operations.table import ClaimResult
 from lapisgrade.gateway.proxy.claim_client import ClaimClient
 from lapisgrade.gateway.proxy.context import ProxyContext
@@ -20,10 +20,7 @@
 from lapisgrade.interface import Call
 from lapisgrade.net.events import CallFinished
 
-# Time reserved for the round trip of an outcome query: at least this many seconds, and at least this fraction
-# of the remaining time, as machines may be busy.
-MIN_REPLY_MARGIN_S = 0.06
-REPLY_MARGIN_RATIO = 0.15
+REPLY_MARGIN_S = 0.06  # time reserved for the round trip of an outcome query, as machines may be busy
 FETCH_ATTEMPTS = 3  # maximum number of calls per outcome query; a call without a reply is retried
 FETCH_RETRY_DELAY_S = 0.1  # delay before an outcome query is retried
 # Maximum number of pending calls of each kind. Both kinds together fit into `rpc.MAX_OPEN_CALLS` of a
@@ -105,21 +102,38 @@
         return outcome
 
     async def _fetch_from_owner(self, call: FetchOutcome) -> Outcome:
-        """Query another proxy, with retries; a proxy that was restarted replies UNKNOWN."""
+        """Query another proxy, with retries; a proxy that was restarted replies UNKNOWN.
+
+        It is first asked for the present state. So the result is still RUNNING if the attempt was at work and
+        the reply at the end of the wait is late.
+        """
         if not is_address(call.owner):
             return UNKNOWN
+        present = await self._query_owner(call, is_waiting=False)
+        if present is None or present.state is not OutcomeState.RUNNING:
+            return present or UNKNOWN
+        return await self._query_owner(call, is_waiting=True) or RUNNING
+
+    async def _query_owner(self, call: FetchOutcome, is_waiting: bool) -> Outcome | None:
+        """Return the reply of an attempt's proxy; None without a reply.
+
+        Args:
+            call: The query.
+            is_waiting: Whether the other proxy replies only when the attempt has ended, or when just the time
+                for its reply is left.
+        """
         for _ in range(FETCH_ATTEMPTS):
             remaining_s = self._seconds_until(call.until_us)
             if remaining_s <= 0:
                 break
-            wait_s = max(0.0, remaining_s - max(MIN_REPLY_MARGIN_S, REPLY_MARGIN_RATIO * remaining_s))
+            wait_s = max(0.0, remaining_s - REPLY_MARGIN_S) if is_waiting else 0.0
             request = rpc_messages.OutcomeRequest(call.attempt, int(wait_s * SECOND))
             result = await self._rpc.call(parse_address(call.owner), request, remaining_s)
             reply = result.value_or(None)
             if isinstance(reply, rpc_messages.OutcomeReply):
                 return reply.outcome
             await asyncio.sleep(FETCH_RETRY_DELAY_S)
-        return UNKNOWN
+        return None
 
     # ---- queries of other proxies
 
--- a/lapisgrade/policy/latency.py
+++ b/lapisgrade/policy/latency.py
@@ -7,6 +7,7 @@
 LATENCY_DECAY_US = 12 * SECOND  # decay time of a latency; some dozens of attempts per server
 LATENCY_PRIOR_WEIGHT = 4  # weight of the initial estimate, in attempts
 PRIOR_MEAN_SQUARE_RATIO = 2  # initially assumed mean of the squared latencies, in squared means
+MIN_KNOWN_ATTEMPTS = 0.5  # decayed number of attempts from which an estimate is known: one that is 8 s old
 MIN_VARIANCE_DIVISOR = 4  # the variance is at least the squared mean divided by this
 UNITS_LATENCY_SHARE = 0.5  # assumed fraction of the latency that is proportional to the units
 
@@ -33,7 +34,7 @@
 
     def is_known(self, now_us: int) -> bool:
         """Whether the estimate rests on recent attempts rather than on its initial value."""
-        return self._attempts.read(now_us) >= 1
+        return self._attempts.read(now_us) > MIN_KNOWN_ATTEMPTS
 
     def mean(self, now_us: int) -> float:
         """The mean latency in us."""
--- a/tests/gateway/proxy/test_operation_transport.py
+++ b/tests/gateway/proxy/test_operation_transport.py
@@ -160,6 +160,30 @@
     assert network.transport._waiters == {}
 
 
+async def test_an_outcome_query_waits_for_all_of_the_callers_time_but_the_replys(network: Network) -> None:
+    waits_s: list[float] = []
+
+    async def call(_to, message, timeout_s):
+        waits_s.append(message.wait_us / SECOND)
+        await asyncio.sleep(min(message.wait_us / SECOND, timeout_s))
+        return Success(rpc_messages.OutcomeReply(RUNNING))
+
+    network.call = call
+    assert await network.fetch("its-1", OTHER_ADDRESS, 0.8) == RUNNING
+    assert waits_s == [0.0, pytest.approx(0.8 - operation_transport.REPLY_MARGIN_S, abs=0.05)]
+
+
+async def test_an_attempt_that_was_at_work_is_running_if_the_last_reply_is_late(network: Network) -> None:
+    async def call(_to, message, timeout_s):
+        if not message.wait_us:
+            return Success(rpc_messages.OutcomeReply(RUNNING))
+        await asyncio.sleep(timeout_s)
+        return Failure(CallFailure.MAY_HAVE_RUN)
+
+    network.call = call
+    assert await network.fetch("its-1", OTHER_ADDRESS, 0.2) == RUNNING
+
+
 async def test_the_number_of_waiting_outcome_queries_is_bounded(network: Network) -> None:
     attempt = network.attempts.begin(now_us())
     request = rpc_messages.OutcomeRequest(attempt, 1 << 62)
