A caller whose turn at the quota is after its deadline takes no turn

Callers saw: refused callers beyond 5 s of turns were all told 5 s, and came back at the same instant. Change: each is told its own turn; the turns are bounded by the callers' deadlines, as one that has no time left by its turn takes none.

--- a/lapisgrade/gateway/quota/client.py
+++ b/lapisgrade/gateway/quota/client.py
@@ -36,8 +36,6 @@
 UNREPORTED_BURST_FRACTION = 0.8
 # Retry delay for a client rejected while the owner does not answer: another proxy may reach the owner.
 UNREPORTED_RETRY_S = 0.3
-# Maximum Retry-After; longer than the deadlines of the deployments' clients.
-MAX_RETRY_AFTER_US = 5 * SECOND
 # Interval between calls to an owner that does not answer; a new owner is available within a second.
 PROBE_INTERVAL_US = 80_000
 MAX_CALLS_PER_S = 200.0  # per tenant
@@ -199,7 +197,7 @@
         else:
             self.unreported.value -= units
 
-    def retry_after_us(self, now_us: int, wait_us: int) -> int:
+    def retry_after_us(self, now_us: int, wait_us: int, deadline_us: int) -> int:
         """Return the delay in us after which a rejected request may retry.
 
         If the count is exhausted, retries are spaced at this proxy's share of the refill; otherwise they
@@ -209,14 +207,16 @@
         Args:
             now_us: The current time.
             wait_us: Minimum delay.
+            deadline_us: When the caller's time ends; a caller that has none left by its turn takes no turn.
         """
         has_units = self.bucket.read(now_us) >= 1.0
         if self.counter_breaker.consecutive_failures or has_units or not self.plan.rate:
             return wait_us
         step_us = math.ceil(self.sharing_limiter_count / self.plan.rate * SECOND)
         earliest_us = max(self._next_retry_us + step_us, now_us + wait_us)
-        self._next_retry_us = min(earliest_us, now_us + MAX_RETRY_AFTER_US)
-        return self._next_retry_us - now_us
+        if earliest_us <= deadline_us:
+            self._next_retry_us = earliest_us
+        return earliest_us - now_us
 
     # ---- calls to the owner
 
--- a/lapisgrade/gateway/routing/quota_grant.py
+++ b/lapisgrade/gateway/routing/quota_grant.py
@@ -53,7 +53,8 @@
         if wait_us is None:
             self._granted_us = now_us
             return None
-        retry_after_us = quota_client.retry_after_us(now_us, max(MIN_RETRY_AFTER_US, int(wait_us)))
+        minimum_us = max(MIN_RETRY_AFTER_US, int(wait_us))
+        retry_after_us = quota_client.retry_after_us(now_us, minimum_us, self._request.deadline_us)
         return Respond(RejectReason.RETRY_LATER, retry_after_us, HTTPStatus.TOO_MANY_REQUESTS)
 
     def put_back(self) -> None:
