A request without others before it looks for its server once

Cause: the order of service looked at all servers for a free one before the balancer chose among them, for every request. Change: the balancer's choice is the test; the queue is not looked at while it is empty.

--- a/lapisgrade/gateway/routing/balancer.py
+++ b/lapisgrade/gateway/routing/balancer.py
@@ -161,10 +161,10 @@
             for server in self.servers.values()
         )
 
-    def has_free_server(self, now_us: int, tried: Collection[UpstreamServer] = ()) -> bool:
-        """Return whether a server in state UP that was not tried yet has capacity and is not ejected."""
+    def has_free_server(self, now_us: int) -> bool:
+        """Return whether a server in state UP has capacity and is not ejected."""
         return any(
-            server.registration.state == ServerState.UP and _fits(now_us, tried, server)
+            server.registration.state == ServerState.UP and _fits(now_us, (), server)
             for server in self.servers.values()
         )
 
--- a/lapisgrade/gateway/routing/request_attempts.py
+++ b/lapisgrade/gateway/routing/request_attempts.py
@@ -171,7 +171,8 @@
         self._state = State.SELECTING
         while not (self._request.is_abandoned or entry.is_displaced):
             now_us = self._clock.now_us
-            if self._is_due(now_us):
+            server = self._find_server(now_us)
+            if server is not None:
                 if self._grant is not None and not self._grant.is_fresh() and not self._may_have_run:
                     entry.is_passed_over = True  # the others don't wait for the count as well
                     refusal = yield from self._grant.take()
@@ -181,7 +182,7 @@
                 if self._needs_retry_budget(0) and not self._retry_budget.try_spend(now_us):
                     return None, None
                 queue.serve(entry)
-                return self._cluster.choose(now_us, self._latency.mean(now_us), self._tried_servers()), None
+                return server, None
             if not self._may_wait(now_us):
                 return None, None
             yield from self._enter_queue()
@@ -190,16 +191,17 @@
             yield Sleep(min(self._next_poll_us(now_us), self._last_start_us(now_us)))
         return None, None
 
-    def _is_due(self, now_us: int) -> bool:
-        """Return whether the request's turn has come and a suitable server has capacity."""
+    def _find_server(self, now_us: int) -> UpstreamServer | None:
+        """Return a suitable server with capacity if the request's turn has come."""
+        entry, cluster = self._entry, self._cluster
         if not self._has_attempts_left(0):
-            return False
-        entry = self._entry
-        if not entry.is_passed_over and not self._cluster.queue.precedes_all(entry):
-            return False
-        is_suitable = self._cluster.has_free_server(now_us, self._tried_servers())
-        entry.is_passed_over = not is_suitable and self._cluster.has_free_server(now_us)
-        return is_suitable
+            return None
+        if not entry.is_passed_over and not cluster.queue.precedes_all(entry):
+            return None
+        tried = self._tried_servers()
+        server = cluster.choose(now_us, self._latency.mean(now_us), tried)
+        entry.is_passed_over = server is None and bool(tried) and cluster.has_free_server(now_us)
+        return server
 
     def _may_wait(self, now_us: int) -> bool:
         """Return whether a server is expected while a run still fits into the caller's time."""
--- a/lapisgrade/gateway/routing/wait_queue.py
+++ b/lapisgrade/gateway/routing/wait_queue.py
@@ -114,6 +114,8 @@
 
     def next(self) -> QueuedRequest | None:
         """Return the request that is served next, or None if none waits for any server."""
+        if not self._length:
+            return None
         first_of_ranks = list(self._first_of_ranks())
         if len(first_of_ranks) > 1 and self._is_lower_rank_turn():
             return min(first_of_ranks[1:])
