--- a/lapisgrade/gateway/routing/balancer.py
+++ b/lapisgrade/gateway/routing/balancer.py
@@ -15,6 +15,7 @@
 from lapisgrade.gateway import registry
 from lapisgrade.gateway.membership.subsets import Subsets
 from lapisgrade.gateway.registry import ServerState
+from lapisgrade.gateway.routing.service_latency import ServiceLatency
 from lapisgrade.gateway.routing.upstream_server import REMOVED_STATES, UpstreamAttempt, UpstreamServer
 from lapisgrade.gateway.routing.wait_queue import QueuedRequest, WaitQueue
 from lapisgrade.interface import AttemptOutcome, AttemptResult
@@ -52,12 +53,12 @@
         self._random = random
         self._zone = zone
         self._subsets = subsets
-        self.overall_latency = LatencyEstimate(INITIAL_LATENCY_US)
+        self.overall_latency = ServiceLatency(INITIAL_LATENCY_US)
         self.servers: dict[str, UpstreamServer] = {}
         self.queue = WaitQueue()
         self._runs = 0
         self._runs_counted_us = -RUNS_AGE_US
-        self._latencies: dict[str, LatencyEstimate] = {}  # by route
+        self._latencies: dict[str, ServiceLatency] = {}  # by route
         # Revision of the subsets that the groups below were computed from; -1 if they are outdated.
         self._grouped_at_revision = -1
         self._subset_ids: set[str] = set()  # ids of the servers in `_own_subset`
@@ -201,7 +202,7 @@
         if latency is None:
             if len(self._latencies) > MAX_ROUTES:  # bounds memory when routes change
                 self._latencies.clear()
-            latency = self._latencies[route] = LatencyEstimate(self.overall_latency.mean(now_us))
+            latency = self._latencies[route] = ServiceLatency(self.overall_latency.mean(now_us))
         return latency
 
     def on_attempt_started(self, now_us: int, attempt: UpstreamAttempt) -> None:
--- a/tests/gateway/routing/test_balancer.py
+++ b/tests/gateway/routing/test_balancer.py
@@ -91,3 +91,11 @@
     for _ in range(200):
         cluster.overall_latency.add(0, 800 * MS, 1.0)
     assert cluster.latency(0, "new").mean(0) == cluster.overall_latency.mean(0) > 700 * MS
+
+
+def test_a_guess_has_no_weight_after_the_first_attempts(scenario: ClusterScenario) -> None:
+    latency = scenario.cluster.latency(0, "new")
+    for second in range(0, 40, 8):  # few attempts, that the estimate forgets nearly as fast as they come
+        latency.add(second * SECOND, 900 * MS, 1.0)
+    assert latency.mean(40 * SECOND) == pytest.approx(900 * MS)
+    assert latency.mean(400 * SECOND) == pytest.approx(900 * MS)
