--- a/lapisgrade/policy/admission_queue.py
+++ b/lapisgrade/policy/admission_queue.py
@@ -1,8 +1,8 @@
 """The queue in which operations wait for capacity before their first attempt, and load shedding by value.
 
 The higher the utilization of the concurrency limit, the more valuable an operation must be to be admitted.
-An operation that is not admitted immediately waits as long as an attempt still fits into its client's time.
-If the queue is too long to be served by then, the operation is rejected immediately.
+An operation that is not admitted immediately waits for a short time, as most queued operations are admitted
+soon. If the queue is too long to be served in that time, the operation is rejected immediately.
 """
 
 from collections.abc import Callable
@@ -14,6 +14,7 @@
 from lapisgrade.policy.server_pool import ServerPool
 from lapisgrade.rate import DecayingSum
 
+MAX_QUEUE_RATIO = 0.25  # maximum wait for capacity, as a fraction of the latency target
 QUEUE_POLL_US = 10_000  # interval between checks for capacity
 
 
@@ -28,18 +29,25 @@
         self._values = DecayingSum(LATENCY_DECAY_US)  # of recent operations, each per us of server work
         self._operations = DecayingSum(LATENCY_DECAY_US)  # number of recent operations
 
-    def wait(self, operation: Operation, account: Account) -> CommandGenerator[bool]:
+    def wait_for_servers(self, operation: Operation, account: Account) -> CommandGenerator[bool]:
         """Wait for capacity of the servers and the account; returns whether there is any."""
         threshold = self._shedding_threshold(operation)
 
         def has_capacity() -> bool:
             is_below_threshold = self._server_pool.concurrency.utilization() < threshold
-            return is_below_threshold and self.has_account_capacity(operation, account)
+            return is_below_threshold and self._has_account_capacity(operation, account)
 
         return (yield from self._wait_until(operation, has_capacity))
 
-    def has_account_capacity(self, operation: Operation, account: Account) -> bool:
-        """Whether the account's cap on attempts in flight has room for the operation."""
+    def wait_for_account(self, operation: Operation, account: Account) -> CommandGenerator[bool]:
+        """Wait for room under the account's cap on attempts in flight; returns whether there is any."""
+
+        def has_capacity() -> bool:
+            return self._has_account_capacity(operation, account)
+
+        return (yield from self._wait_until(operation, has_capacity))
+
+    def _has_account_capacity(self, operation: Operation, account: Account) -> bool:
         mean_us = self._server_pool.mean_latency_us(operation.category)
         return account.has_capacity(operation.units, mean_us)
 
@@ -54,9 +62,9 @@
         return LOAD_SHEDDING_THRESHOLD + (1 - LOAD_SHEDDING_THRESHOLD) * relative_value
 
     def _wait_until(self, operation: Operation, has_capacity: Callable[[], bool]) -> CommandGenerator[bool]:
-        """Wait for capacity; return False when no attempt fits any more, or at once if the queue is full."""
-        expected_us = self._server_pool.expected_latency_us(operation)
-        latest_us = operation.deadline_us - RESPONSE_MARGIN_US - int(expected_us)
+        """Wait for capacity; return False after too long a wait, or at once if the queue is full."""
+        max_wait_us = int(MAX_QUEUE_RATIO * operation.category.latency_target_us)
+        latest_us = min(self._clock.now_us + max_wait_us, operation.deadline_us - RESPONSE_MARGIN_US)
         mean_us = self._server_pool.mean_latency_us(operation.category)
         is_queued, is_ready = False, False
         while not operation.is_abandoned:
--- a/lapisgrade/policy/limiter.py
+++ b/lapisgrade/policy/limiter.py
@@ -87,20 +87,20 @@
     def handle(self, operation: Operation) -> CommandGenerator[None]:
         """Handle an operation: admit it and run its attempts, or reject it."""
         account = self.account(operation)
-        while True:
-            if not (yield from self.queue.wait(operation, account)):
-                yield from self._reject_overloaded(operation)
-                return
-            wait_us = yield from account.admit(operation)
-            if operation.is_abandoned:
-                return
-            if wait_us is not None and not self._admit_overage(operation, account):
-                yield from reject_for_retry(operation, self.permissions, wait_us)
-                return
-            # The counter's reply may have raised the estimate of other limiters' attempts.
-            if self.queue.has_account_capacity(operation, account):
-                break
-            account.unreported.add(self.clock.now_us, -operation.units)  # a waiting operation holds no units
+        if not (yield from self.queue.wait_for_servers(operation, account)):
+            yield from self._reject_overloaded(operation)
+            return
+        wait_us = yield from account.admit(operation)
+        if operation.is_abandoned:
+            return
+        if wait_us is not None and not self._admit_overage(operation, account):
+            yield from reject_for_retry(operation, self.permissions, wait_us)
+            return
+        # The counter's reply may have raised the estimate of other limiters' attempts: check the cap again.
+        if not (yield from self.queue.wait_for_account(operation, account)):
+            account.unreported.add(self.clock.now_us, -operation.units)
+            yield from self._reject_overloaded(operation)
+            return
         attempts = OperationAttempts(self.clock, self.server_pool, self.permissions, account, operation)
         yield from attempts.run()
 
