A route's first responses are not compared with a guess of its latency

Cause: the first response of a route took nine times the guess of 100 ms, which marked its server as nine times too slow for 12 s, one after the other; a proxy left its own servers for those of other zones. Change: a response counts for its server's speed once the route's latency is known.

--- a/lapisgrade/gateway/routing/balancer.py
+++ b/lapisgrade/gateway/routing/balancer.py
@@ -255,8 +255,11 @@
     def _on_success(
         self, now_us: int, server: UpstreamServer, latency: LatencyEstimate, latency_us: int
     ) -> None:
-        """Record a successful attempt in the latency estimates and at its server."""
-        usual_us = latency.mean(now_us)
+        """Record a successful attempt in the latency estimates and at its server.
+
+        Compared with a guess, the first attempts of a route would tell nothing of their servers' speed.
+        """
+        usual_us = latency.mean(now_us) if latency.is_known(now_us) else latency_us
         latency.add(now_us, latency_us, 1.0)
         self.overall_latency.add(now_us, latency_us, 1.0)
         server.on_success(now_us, latency_us / usual_us)
--- a/tests/gateway/routing/test_balancer.py
+++ b/tests/gateway/routing/test_balancer.py
@@ -99,3 +99,11 @@
         latency.add(second * SECOND, 900 * MS, 1.0)
     assert latency.mean(40 * SECOND) == pytest.approx(900 * MS)
     assert latency.mean(400 * SECOND) == pytest.approx(900 * MS)
+
+
+def test_the_first_response_of_a_route_does_not_make_its_server_slow(scenario: ClusterScenario) -> None:
+    attempt = Attempt(None, scenario.cluster.servers["s1"], 0, 0)
+    scenario.cluster.on_attempt_started(0, attempt)
+    result = AttemptResult(AttemptOutcome.OK, 900 * MS)  # nine times as long as the guess
+    scenario.cluster.on_attempt_finished(900 * MS, attempt, result, scenario.latency)
+    assert 0.3 < scenario.share_of_s1(900 * MS) < 0.7
