A request that may have run keeps its unit of the quota while its retry waits

Found by reading again: since retries wait for a server, an attempt that a server had answered with 500 within 0.25 s had its unit put back, and the tenant could spend it once more, although QUOTA counts the request that ran. Change: only a request that has certainly not run puts its unit back. Also: the next request is woken when the one whose turn it is waits for its tenant's count. Evidence: test_the_unit_of_an_attempt_that_may_have_run_is_not_put_back (fails before for an error).

--- a/lapisgrade/gateway/routing/request_attempts.py
+++ b/lapisgrade/gateway/routing/request_attempts.py
@@ -176,6 +176,7 @@
             if server is not None:
                 if self._grant is not None and not self._grant.is_fresh() and not self._may_have_run:
                     entry.is_passed_over = True  # the others don't wait for the count as well
+                    yield from self._wake_next()
                     refusal = yield from self._grant.take()
                     if refusal is not None:
                         return None, refusal
@@ -218,8 +219,11 @@
         return now_us < latest_us
 
     def _enter_queue(self) -> Generator[Any, Any, None]:
-        """Join the queue, without a unit of the quota; wake those that have no room in it any more."""
-        if self._grant is not None:
+        """Join the queue, without a unit of the quota; wake those that have no room in it any more.
+
+        A unit with which an attempt may have run is spent.
+        """
+        if self._grant is not None and not self._may_have_run:
             self._grant.put_back()
         for displaced in self._cluster.queue.add(self._entry):
             yield Resume(displaced.request)
--- a/tests/gateway/routing/test_request_attempts.py
+++ b/tests/gateway/routing/test_request_attempts.py
@@ -2,11 +2,13 @@
 
 from dataclasses import dataclass
 from typing import Any
+from unittest.mock import Mock
 
 import msgspec
 import pytest
 
 from lapisgrade.gateway import SECOND, configuration, registry
+from lapisgrade.gateway.routing.quota_grant import QuotaGrant
 from lapisgrade.gateway.routing.request import RoutedRequest
 from lapisgrade.gateway.routing.route_table import RouteTable
 from lapisgrade.gateway.routing.router import Router
@@ -79,6 +81,7 @@
         arrived_ago_us: int = 0,
         target_us: int = TARGET_US,
         time_left_us: int = 3 * SECOND,
+        grant: Any = None,
     ) -> ServedRequest:
         """Start to serve a request that arrived `arrived_ago_us` ago on a route of this mode."""
         action = {"Svc": "a", "Timeout": "3s", "Tries": 3}
@@ -92,7 +95,7 @@
             customer="", arrived_us=now_us - arrived_ago_us,
             deadline_us=now_us + time_left_us, rule=rule, tenant=None, service="a", handle=None,
         )  # fmt: skip
-        served_request = ServedRequest(self.router, self.router.serve(request), [])
+        served_request = ServedRequest(self.router, self.router.serve(request, grant), [])
         served_request.resume(None)
         return served_request
 
@@ -194,6 +197,21 @@
     assert served_request.sent == ["s9"]
 
 
+@pytest.mark.parametrize(
+    ("outcome", "is_put_back"), [(AttemptOutcome.ERROR, False), (AttemptOutcome.OVERLOADED, True)]
+)
+def test_the_unit_of_an_attempt_that_may_have_run_is_not_put_back(
+    scenario: RouterScenario, outcome: AttemptOutcome, is_put_back: bool
+) -> None:
+    grant = Mock(spec=QuotaGrant)
+    served_request = scenario.request(grant=grant)
+    while scenario.router.cluster("a").has_free_server(scenario.clock.now_us):
+        scenario.request(mode="mutate")
+    served_request.finish(outcome)  # the retry waits, as the other servers have no capacity
+    assert isinstance(served_request.yielded, Sleep)
+    assert grant.put_back.called == is_put_back
+
+
 def test_a_non_idempotent_request_is_retried_only_if_it_has_not_run(scenario: RouterScenario) -> None:
     served_request = scenario.request(mode="mutate")
     served_request.finish(AttemptOutcome.OVERLOADED)
